--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Every target makes its own environment first; `VENV` may name another one.
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+SEED ?= 1
+STEPS ?= 20000
+CODE := apricottally standins demo bench tests
+
+export PYTHONPATH := $(CURDIR)
+
+.PHONY: all demo test bench soak format lint types unit
+
+all: test
+
+$(VENV)/.installed: requirements.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --no-deps -r requirements.lock
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m demo
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench
+
+soak: $(VENV)/.installed
+	$(BIN)/python -m bench.soak --seed $(SEED) --steps $(STEPS)
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format $(CODE)
+	$(BIN)/ruff check --fix $(CODE)
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check $(CODE)
+	$(BIN)/ruff check $(CODE)
+	$(BIN)/flake8 $(CODE)
+
+types: $(VENV)/.installed
+	$(BIN)/mypy
+
+unit: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+test: lint types unit
--- /dev/null
+++ b/apricottally/errors.py
@@ -0,0 +1,50 @@
+"""Errors of each layer; a layer turns those from below into its own."""
+
+
+class ApricottallyError(Exception):
+    """Base of every error raised by this package."""
+
+
+class WireError(ApricottallyError):
+    """A datagram or packet that is refused; `reason` is a counter label."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class ModelError(ApricottallyError):
+    """A value of the operators' input that is not allowed.
+
+    `path` is the key path within the document, such as `templates.feed.port`.
+    """
+
+    def __init__(self, path: str, problem: str) -> None:
+        super().__init__(f'{path}: {problem}')
+        self.path = path
+        self.problem = problem
+
+
+class InvariantError(ApricottallyError):
+    """A broken invariant; raised only where the driver asks for strictness."""
+
+
+class SettingsError(ApricottallyError):
+    """A fault in the settings file; `path` is the key path."""
+
+    def __init__(self, path: str, problem: str) -> None:
+        super().__init__(f'{path}: {problem}')
+        self.path = path
+        self.problem = problem
+
+
+class PlatformError(ApricottallyError):
+    """The platform's service did not answer, or refused the call."""
+
+
+class PublishError(ApricottallyError):
+    """A publication that was not accepted, or whose outcome is unknown."""
+
+
+class ControlError(ApricottallyError):
+    """A node's control service did not answer, or refused the call."""
--- /dev/null
+++ b/apricottally/members.py
@@ -0,0 +1,96 @@
+"""The nodes that a node knows of, and which of them may own shards."""
+
+import enum
+
+import msgspec
+
+from apricottally.addresses import Endpoint
+
+
+class MemberState(enum.IntEnum):
+    """State of a node, in the order in which it overrides the former one."""
+
+    alive = 0
+    suspect = 1
+    leaving = 2
+    dead = 3
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """One node. `incarnation` is raised by the node itself only."""
+
+    name: str
+    zone: str
+    ip: str
+    packet_port: int
+    peer_port: int
+    incarnation: int = 0
+    state: MemberState = MemberState.alive
+
+    @property
+    def packet(self) -> Endpoint:
+        """The endpoint of its packet socket."""
+        return self.ip, self.packet_port
+
+    @property
+    def peer(self) -> Endpoint:
+        """The endpoint of its peer socket."""
+        return self.ip, self.peer_port
+
+
+_ELIGIBLE = frozenset((MemberState.alive, MemberState.suspect))
+
+
+class MemberTable:
+    """Members by name, and the eligible ones by zone.
+
+    `version` grows whenever the eligible set changes, so that choices made
+    from it can be kept until then.
+    """
+
+    __slots__ = ('_zones', 'members', 'own_name', 'version')
+
+    def __init__(self, own: Member) -> None:
+        self.own_name = own.name
+        self.members: dict[str, Member] = {own.name: own}
+        self.version = 1
+        self._zones: dict[str, tuple[Member, ...]] = {}
+
+    @property
+    def own(self) -> Member:
+        """The entry of this node."""
+        return self.members[self.own_name]
+
+    def put(self, member: Member) -> None:
+        """Store a member; the caller has decided that it overrides."""
+        held = self.members.get(member.name)
+        self.members[member.name] = member
+        if held is None or _rank(held) != _rank(member):
+            self._invalidate()
+
+    def remove(self, name: str) -> None:
+        """Forget a member."""
+        if self.members.pop(name, None) is not None:
+            self._invalidate()
+
+    def eligible(self, zone: str = '') -> tuple[Member, ...]:
+        """Return the members of a zone (all zones if empty) that may own."""
+        cached = self._zones.get(zone)
+        if cached is None:
+            cached = tuple(
+                member
+                for member in self.members.values()
+                if member.state in _ELIGIBLE and zone in {'', member.zone}
+            )
+            self._zones[zone] = cached
+        return cached
+
+    def _invalidate(self) -> None:
+        self.version += 1
+        self._zones.clear()
+
+
+def _rank(member: Member) -> tuple[bool, str, Endpoint, Endpoint]:
+    """Return what decides whether choices made from the table still hold."""
+    eligible = member.state in _ELIGIBLE
+    return eligible, member.zone, member.packet, member.peer
--- /dev/null
+++ b/apricottally/packet.py
@@ -0,0 +1,386 @@
+"""Inner IPv4/TCP packets: parsing, timestamp rewriting, checksums, resets.
+
+Sources: RFC 791, RFC 9293, RFC 7323 (timestamps), RFC 1624 (incremental
+checksum). Addresses and ports are numbers in host order.
+"""
+
+import struct
+
+import msgspec
+
+from apricottally.errors import WireError
+
+FIN = 1
+SYN = 2
+RST = 4
+PSH = 8
+ACK = 0x10
+
+# Flags of the packets that go through the owner of a backend shard.
+FIRST_OR_LAST = SYN | FIN | RST
+
+# The backend number takes the low bits of a timestamp. Ten bits leave a tick
+# of 1.024 s, the coarsest that RFC 7323 recommends.
+NUMBER_BITS = 10
+NUMBER_MASK = (1 << NUMBER_BITS) - 1
+MAX_BACKENDS = 1 << NUMBER_BITS
+
+IP_LENGTH = 20
+TCP_LENGTH = 20
+HEADERS_LENGTH = IP_LENGTH + TCP_LENGTH
+MAX_PACKET_LENGTH = 9000
+KEY_LENGTH = 12
+
+_HEADERS = struct.Struct('!BxHxxHxBxxIIHHIIBBxxH')
+_IP = struct.Struct('!BBHHHBBHII')
+_TCP = struct.Struct('!HHIIBBHHH')
+_TWO_WORDS = struct.Struct('!II')
+_HALF = struct.Struct('!H')
+_VERSION_AND_LENGTH = 0x45
+_FRAGMENT_BITS = 0x3FFF
+_PROTOCOL_TCP = 6
+_TTL_HOPS = 64
+_ALIGNED_TIMESTAMPS = b'\x01\x01\x08\x0a'
+_OPTION_END = 0
+_OPTION_NOP = 1
+_OPTION_TIMESTAMPS = 8
+_TIMESTAMPS_LENGTH = 10
+_ADDRESSES_OFFSET = 12
+_CHECKSUM_OFFSET = IP_LENGTH + 16
+_FLAGS_OFFSET = IP_LENGTH + 13
+_WORD = 0xFFFF
+
+
+class Segment(msgspec.Struct, frozen=True, gc=False):
+    """The header fields of one inner TCP packet.
+
+    `start` is the offset of the inner packet within the datagram,
+    `timestamps` the offset of TSval (0 if the option is missing) and
+    `payload` the offset of the TCP payload.
+    """
+
+    start: int
+    src_ip: int
+    dst_ip: int
+    src_port: int
+    dst_port: int
+    seq: int
+    ack: int
+    flags: int
+    timestamps: int
+    ts_val: int
+    ts_ecr: int
+    payload: int
+    end: int
+
+
+# One function, since each call costs more than the parse itself.
+def parse(  # noqa: WPS210, WPS231
+    datagram: bytes,
+    start: int,
+) -> Segment:
+    """Parse the inner packet at `start`.
+
+    Raises `WireError` with the reason for a packet that is refused.
+    """
+    end = len(datagram)
+    if end - start < HEADERS_LENGTH:
+        raise WireError('truncated_packet')
+    (
+        version,
+        total,
+        fragment,
+        protocol,
+        src_ip,
+        dst_ip,
+        src_port,
+        dst_port,
+        seq,
+        ack,
+        offset,
+        flags,
+        _checksum,
+    ) = _HEADERS.unpack_from(datagram, start)
+    if version != _VERSION_AND_LENGTH:
+        raise WireError('foreign_ip_header')
+    if total != end - start:
+        raise WireError('wrong_length')
+    if fragment & _FRAGMENT_BITS:
+        raise WireError('fragment')
+    if protocol != _PROTOCOL_TCP:
+        raise WireError('not_tcp')
+    payload = start + IP_LENGTH + (offset >> 4) * 4
+    if payload > end or payload < start + HEADERS_LENGTH:
+        raise WireError('truncated_options')
+    options = start + HEADERS_LENGTH
+    if datagram[options : options + 4] == _ALIGNED_TIMESTAMPS:
+        timestamps = options + 4
+        if timestamps + _TWO_WORDS.size > payload:
+            raise WireError('truncated_options')
+    else:
+        timestamps = _find_timestamps(datagram, options, payload)
+    ts_val = 0
+    ts_ecr = 0
+    if timestamps:
+        ts_val, ts_ecr = _TWO_WORDS.unpack_from(datagram, timestamps)
+    return Segment(
+        start,
+        src_ip,
+        dst_ip,
+        src_port,
+        dst_port,
+        seq,
+        ack,
+        flags,
+        timestamps,
+        ts_val,
+        ts_ecr,
+        payload,
+        end,
+    )
+
+
+def _find_timestamps(  # noqa: WPS231
+    datagram: bytes,
+    offset: int,
+    end: int,
+) -> int:
+    """Return the offset of TSval within the options, 0 if there is none."""
+    while offset < end:
+        kind = datagram[offset]
+        if kind == _OPTION_END:
+            return 0
+        if kind == _OPTION_NOP:
+            offset += 1
+            continue
+        if offset + 2 > end:
+            raise WireError('truncated_options')
+        length = datagram[offset + 1]
+        if length < 2 or offset + length > end:
+            raise WireError('truncated_options')
+        if kind == _OPTION_TIMESTAMPS:
+            if length != _TIMESTAMPS_LENGTH:
+                raise WireError('truncated_options')
+            return offset + 2
+        offset += length
+    return 0
+
+
+def caller_key(datagram: bytes, start: int) -> bytes:
+    """Return the 12 bytes that name the flow, from a caller's packet."""
+    first = start + _ADDRESSES_OFFSET
+    return datagram[first : first + KEY_LENGTH]
+
+
+def reply_key(datagram: bytes, start: int) -> bytes:
+    """Return the 12 bytes that name the flow, from a backend's packet."""
+    first = start + _ADDRESSES_OFFSET
+    return b''.join(
+        (
+            datagram[first + 4 : first + 8],
+            datagram[first : first + 4],
+            datagram[first + 10 : first + 12],
+            datagram[first + 8 : first + 10],
+        )
+    )
+
+
+def flow_key(src_ip: int, src_port: int, dst_ip: int, dst_port: int) -> bytes:
+    """Return the 12 bytes that name the flow of a caller and a service."""
+    return struct.pack('!IIHH', src_ip, dst_ip, src_port, dst_port)
+
+
+def clear_number(datagram: bytes, segment: Segment) -> bytes:
+    """Return the inner packet with the low bits of TSecr set to zero."""
+    return _replace_low_bits(datagram, segment, segment.timestamps + 4, 0)
+
+
+def write_number(datagram: bytes, segment: Segment, number: int) -> bytes:
+    """Return the inner packet with `number` in the low bits of TSval."""
+    return _replace_low_bits(datagram, segment, segment.timestamps, number)
+
+
+def _replace_low_bits(
+    datagram: bytes,
+    segment: Segment,
+    word: int,
+    number: int,
+) -> bytes:
+    """Replace the low bits of the 32-bit word at offset `word`."""
+    start = segment.start
+    field = word + 2
+    old = _HALF.unpack_from(datagram, field)[0]
+    new = old & ~NUMBER_MASK | number
+    if old == new:
+        return datagram[start:]
+    packet = bytearray(datagram[start:])
+    _HALF.pack_into(packet, field - start, new)
+    _adjust_checksum(packet, old, new, odd=(field - start) & 1)
+    return bytes(packet)
+
+
+def _adjust_checksum(packet: bytearray, old: int, new: int, odd: int) -> None:
+    """Apply RFC 1624 to the TCP checksum for one changed 16-bit field."""
+    if odd:
+        # The field straddles two checksum words; one's complement sums do
+        # not depend on byte order, so swapping the bytes is enough.
+        old = (old >> 8) | (old & 0xFF) << 8
+        new = (new >> 8) | (new & 0xFF) << 8
+    checksum = _HALF.unpack_from(packet, _CHECKSUM_OFFSET)[0]
+    total = (~checksum & _WORD) + (~old & _WORD) + new
+    total = (total & _WORD) + (total >> 16)
+    total = (total & _WORD) + (total >> 16)
+    _HALF.pack_into(packet, _CHECKSUM_OFFSET, ~total & _WORD)
+
+
+def strip_payload(datagram: bytes, segment: Segment) -> bytes:
+    """Return the inner packet without its TCP payload."""
+    packet = bytearray(datagram[segment.start : segment.payload])
+    struct.pack_into('!H', packet, 2, len(packet))
+    _write_checksums(packet)
+    return bytes(packet)
+
+
+def build(  # noqa: WPS211
+    src_ip: int,
+    src_port: int,
+    dst_ip: int,
+    dst_port: int,
+    seq: int,
+    ack: int,
+    flags: int,
+    options: bytes = b'',
+    payload: bytes = b'',
+    window: int = _WORD,
+) -> bytes:
+    """Return an IPv4/TCP packet with both checksums filled in.
+
+    `options` is padded with NOPs to whole words.
+    """
+    options += bytes([_OPTION_NOP]) * (-len(options) % 4)
+    words = (TCP_LENGTH + len(options)) // 4
+    total = HEADERS_LENGTH + len(options) + len(payload)
+    header = _IP.pack(
+        _VERSION_AND_LENGTH,
+        0,
+        total,
+        0,
+        0,
+        _TTL_HOPS,
+        _PROTOCOL_TCP,
+        0,
+        src_ip,
+        dst_ip,
+    )
+    tcp = _TCP.pack(
+        src_port,
+        dst_port,
+        seq & 0xFFFFFFFF,
+        ack & 0xFFFFFFFF,
+        words << 4,
+        flags,
+        window,
+        0,
+        0,
+    )
+    packet = bytearray(b''.join((header, tcp, options, payload)))
+    _write_checksums(packet)
+    return bytes(packet)
+
+
+def encode_timestamps(ts_val: int, ts_ecr: int) -> bytes:
+    """Return the aligned timestamps option of RFC 7323."""
+    return _ALIGNED_TIMESTAMPS + _TWO_WORDS.pack(
+        ts_val & 0xFFFFFFFF,
+        ts_ecr & 0xFFFFFFFF,
+    )
+
+
+def refuse_syn(segment: Segment) -> bytes:
+    """Return the reset that answers a SYN: sequence 0, acknowledging it.
+
+    A caller in SYN-SENT takes it as a refusal. A caller that is already
+    established ignores it, since its sequence number is not the next one
+    expected (RFC 5961).
+    """
+    return build(
+        segment.dst_ip,
+        segment.dst_port,
+        segment.src_ip,
+        segment.src_port,
+        0,
+        segment.seq + 1,
+        RST | ACK,
+    )
+
+
+def reset_sender(segment: Segment) -> bytes:
+    """Return the reset that ends an established flow towards its sender."""
+    return build(
+        segment.dst_ip,
+        segment.dst_port,
+        segment.src_ip,
+        segment.src_port,
+        segment.ack,
+        0,
+        RST,
+    )
+
+
+def reset_receiver(segment: Segment) -> bytes:
+    """Return the reset that ends the flow towards the packet's receiver.
+
+    It continues the sender's sequence, so the receiver accepts it. For a SYN,
+    the sequence after it.
+    """
+    length = segment.end - segment.payload
+    if segment.flags & (SYN | FIN):
+        length += 1
+    options = b''
+    if segment.timestamps:
+        options = encode_timestamps(
+            segment.ts_val,
+            segment.ts_ecr & ~NUMBER_MASK,
+        )
+    return build(
+        segment.src_ip,
+        segment.src_port,
+        segment.dst_ip,
+        segment.dst_port,
+        segment.seq + length,
+        0,
+        RST,
+        options,
+    )
+
+
+def is_valid(packet: bytes) -> bool:
+    """Tell whether both checksums of an inner packet are right."""
+    header_ok = _sum_words(packet[:IP_LENGTH]) == _WORD
+    return header_ok and _sum_words(_pseudo_header(packet)) == _WORD
+
+
+def _write_checksums(packet: bytearray) -> None:
+    """Fill in the IPv4 and TCP checksums of a whole packet."""
+    _HALF.pack_into(packet, 10, 0)
+    _HALF.pack_into(packet, 10, ~_sum_words(packet[:IP_LENGTH]) & _WORD)
+    _HALF.pack_into(packet, _CHECKSUM_OFFSET, 0)
+    total = _sum_words(_pseudo_header(packet))
+    _HALF.pack_into(packet, _CHECKSUM_OFFSET, ~total & _WORD)
+
+
+def _pseudo_header(packet: bytes | bytearray) -> bytes:
+    """Return the bytes that the TCP checksum covers."""
+    length = len(packet) - IP_LENGTH
+    tail = struct.pack('!BBH', 0, _PROTOCOL_TCP, length)
+    return b''.join(
+        (packet[_ADDRESSES_OFFSET:IP_LENGTH], tail, packet[IP_LENGTH:])
+    )
+
+
+def _sum_words(content: bytes | bytearray) -> int:
+    """Return the folded one's complement sum of 16-bit words."""
+    padded = bytes(content) + b'\x00' * (len(content) % 2)
+    # A big number modulo 65535 is the one's complement sum of its words.
+    total = int.from_bytes(padded, 'big')
+    return total % _WORD or (_WORD if total else 0)
--- /dev/null
+++ b/apricottally/records.py
@@ -0,0 +1,115 @@
+"""Versioned records of the platform, held by each node.
+
+A record replaces another only if its version is higher, whatever order and
+source records arrive in. Deletions stay as records without a value, so that
+an old value from a slow neighbour cannot come back.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from apricottally import model
+from apricottally.errors import ModelError
+from apricottally.events import Record
+
+BUCKETS = 64
+
+
+class RecordStore:
+    """Records by key, with a digest a bucket and one over all buckets."""
+
+    __slots__ = ('_buckets', 'records', 'revision')
+
+    def __init__(self) -> None:
+        self.records: dict[str, Record] = {}
+        # Highest version seen in any record.
+        self.revision = 0
+        self._buckets = [0] * BUCKETS
+
+    def apply(self, record: Record) -> bool:
+        """Take a record if it is newer and well formed; tell whether taken.
+
+        Raises `ModelError` for a newer record whose value is refused.
+        """
+        held = self.records.get(record.key)
+        if held is not None and held.version >= record.version:
+            return False
+        if record.value is not None:
+            _check(record)
+        self._replace(held, record)
+        return True
+
+    def find(self, key: str) -> Record | None:
+        """Return the record of a key, if it exists and is not deleted."""
+        record = self.records.get(key)
+        if record is None or record.value is None:
+            return None
+        return record
+
+    def version_of(self, key: str) -> int:
+        """Return the version held for a key, 0 if none is."""
+        record = self.records.get(key)
+        return 0 if record is None else record.version
+
+    def list_prefix(self, prefix: str) -> list[Record]:
+        """Return the live records below a prefix, by key."""
+        return [
+            self.records[key]
+            for key in sorted(self.records)
+            if key.startswith(prefix) and self.records[key].value is not None
+        ]
+
+    def list_missing(self, present: Iterable[str]) -> list[str]:
+        """Return the live keys that a complete list does not contain."""
+        known = set(present)
+        return [
+            key
+            for key, record in self.records.items()
+            if record.value is not None and key not in known
+        ]
+
+    def digest(self) -> int:
+        """Return a 64-bit digest of all keys and versions."""
+        packed = b''.join(bucket.to_bytes(8, 'big') for bucket in self._buckets)
+        return xxhash.xxh3_64_intdigest(packed)
+
+    def bucket_digests(self) -> tuple[int, ...]:
+        """Return the digest of each bucket."""
+        return tuple(self._buckets)
+
+    def list_buckets(self, buckets: Iterable[int]) -> list[Record]:
+        """Return all records of the named buckets, deletions included."""
+        wanted = set(buckets)
+        return [
+            record
+            for key, record in self.records.items()
+            if bucket_of(key) in wanted
+        ]
+
+    def _replace(self, held: Record | None, record: Record) -> None:
+        bucket = bucket_of(record.key)
+        if held is not None:
+            self._buckets[bucket] ^= _fingerprint(held)
+        self._buckets[bucket] ^= _fingerprint(record)
+        self.records[record.key] = record
+        self.revision = max(self.revision, record.version)
+
+
+def bucket_of(key: str) -> int:
+    """Return the digest bucket of a key."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % BUCKETS
+
+
+def _fingerprint(record: Record) -> int:
+    text = f'{record.key}\n{record.version}'
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def _check(record: Record) -> None:
+    """Raise `ModelError` unless the value can be used as a whole."""
+    try:
+        model.decode_record(record.key, record.value or b'')
+    except msgspec.MsgspecError as error:
+        raise ModelError(record.key, str(error)) from error
--- /dev/null
+++ b/apricottally/routes.py
@@ -0,0 +1,188 @@
+"""Routes compiled from records: service endpoints, backends and shards."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from apricottally import addresses, model
+from apricottally.addresses import Endpoint
+from apricottally.errors import ModelError
+from apricottally.model import Backend, BackendState, Template, Workspace
+from apricottally.records import RecordStore
+from apricottally.shards import Shard, count_shards, shard_index
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service's backends by number, and its shards.
+
+    `endpoints` maps a number to the backend's packet endpoint, for every
+    backend that may still have open flows. `version` is the record's.
+    """
+
+    name: str
+    version: int
+    backends: dict[int, Backend]
+    endpoints: dict[int, Endpoint]
+    numbers_by_ip: dict[int, int]
+    shards: tuple[Shard, ...]
+    shard_of: dict[int, Shard]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One service endpoint of a workspace."""
+
+    workspace: str
+    template_name: str
+    template: Template
+    share: float
+    service: Service
+
+
+class RouteTable:
+    """Routes by endpoint: `(ip << 16) | port`, both as numbers."""
+
+    __slots__ = ('_services', 'routes')
+
+    def __init__(self) -> None:
+        self.routes: dict[int, Route] = {}
+        self._services: dict[str, Service] = {}
+
+    @property
+    def services(self) -> dict[str, Service]:
+        """The services by name."""
+        return self._services
+
+    def find(self, ip: int, port: int) -> Route | None:
+        """Return the route of a service endpoint."""
+        return self.routes.get(ip << 16 | port)
+
+    def rebuild(self, store: RecordStore) -> None:
+        """Compile all routes from the records held.
+
+        A workspace that names an unknown template is routed for its other
+        templates. Of two workspaces with one endpoint the older key wins.
+        """
+        self._services = _build_services(store)
+        templates = {
+            record.key.removeprefix(model.TEMPLATE_PREFIX): body
+            for record in store.list_prefix(model.TEMPLATE_PREFIX)
+            if isinstance(body := _decode(record.key, record.value), Template)
+        }
+        routes: dict[int, Route] = {}
+        for record in store.list_prefix(model.WORKSPACE_PREFIX):
+            body = _decode(record.key, record.value)
+            if isinstance(body, Workspace):
+                name = record.key.removeprefix(model.WORKSPACE_PREFIX)
+                self._add_workspace(routes, templates, name, body)
+        self.routes = routes
+
+    def _add_workspace(
+        self,
+        routes: dict[int, Route],
+        templates: dict[str, Template],
+        name: str,
+        workspace: Workspace,
+    ) -> None:
+        ip = addresses.parse_ip(workspace.address)
+        for template_name, share in workspace.templates.items():
+            template = templates.get(template_name)
+            if template is None:
+                continue
+            service = self._services.get(template.service)
+            if service is None:
+                service = build_service(template.service, 0, ())
+                self._services[template.service] = service
+            route = Route(name, template_name, template, share, service)
+            routes.setdefault(ip << 16 | template.port, route)
+
+
+def build_service(
+    name: str,
+    version: int,
+    backends: tuple[Backend, ...],
+) -> Service:
+    """Return the service with its shards, from its backends."""
+    present = [
+        backend
+        for backend in backends
+        if backend.state is not BackendState.retired
+    ]
+    built, shard_of = _build_shards(name, present)
+    return Service(
+        name=name,
+        version=version,
+        backends={backend.number: backend for backend in backends},
+        endpoints={
+            backend.number: (backend.ip, addresses.PACKET_PORT)
+            for backend in present
+        },
+        numbers_by_ip={
+            addresses.parse_ip(backend.ip): backend.number
+            for backend in present
+        },
+        shards=built,
+        shard_of=shard_of,
+    )
+
+
+def _build_services(store: RecordStore) -> dict[str, Service]:
+    services = {}
+    for record in store.list_prefix(model.BACKEND_PREFIX):
+        body = _decode(record.key, record.value)
+        if isinstance(body, model.BackendSet):
+            name = record.key.removeprefix(model.BACKEND_PREFIX)
+            services[name] = build_service(name, record.version, body.backends)
+    return services
+
+
+def _build_shards(
+    name: str,
+    present: list[Backend],
+) -> tuple[tuple[Shard, ...], dict[int, Shard]]:
+    by_zone: defaultdict[str, list[Backend]] = defaultdict(list)
+    for backend in present:
+        by_zone[backend.zone].append(backend)
+    built = []
+    shard_of: dict[int, Shard] = {}
+    for zone in sorted(by_zone):
+        for shard, members in _split_zone(name, zone, by_zone[zone]):
+            built.append(shard)
+            shard_of.update((backend.number, shard) for backend in members)
+    return tuple(built), shard_of
+
+
+def _split_zone(
+    name: str,
+    zone: str,
+    backends: list[Backend],
+) -> list[tuple[Shard, list[Backend]]]:
+    """Split the backends of one zone into shards."""
+    count = count_shards(len(backends))
+    parts: list[list[Backend]] = [[] for _ in range(count)]
+    for backend in backends:
+        parts[shard_index(backend.number, count)].append(backend)
+    split = []
+    for index, part in enumerate(parts):
+        active = [
+            backend for backend in part if backend.state is BackendState.active
+        ]
+        shard = Shard(
+            name=f'{name}/{zone}/{index}',
+            service=name,
+            zone=zone,
+            numbers=tuple(sorted(backend.number for backend in active)),
+            weight=sum(backend.slots for backend in active),
+        )
+        split.append((shard, part))
+    return split
+
+
+def _decode(key: str, value: bytes | None) -> object:
+    """Decode a value that the store has already checked."""
+    if value is None:
+        return None
+    try:
+        return model.decode_record(key, value)
+    except ModelError:
+        return None
--- /dev/null
+++ b/apricottally/shards.py
@@ -0,0 +1,132 @@
+"""Backend shards, and the nodes that own them by rendezvous hash."""
+
+from dataclasses import dataclass
+
+import xxhash
+
+from apricottally.members import Member, MemberTable
+
+# One owner admits for a whole shard; its size bounds the work of one node
+# and the number of shards a large service spreads over.
+SHARD_BACKENDS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Shard:
+    """The backend servers of one service and zone that one node admits for.
+
+    `numbers` are those that may get new flows; `weight` is their slots.
+    """
+
+    name: str
+    service: str
+    zone: str
+    numbers: tuple[int, ...]
+    weight: int
+
+
+def count_shards(backends: int) -> int:
+    """Return the number of shards for a zone's backends, a power of two."""
+    shards = 1
+    while shards * SHARD_BACKENDS < backends:
+        shards *= 2
+    return shards
+
+
+def shard_index(number: int, shards: int) -> int:
+    """Return the shard that a backend number belongs to."""
+    return xxhash.xxh3_64_intdigest(number.to_bytes(2, 'big')) % shards
+
+
+def choose_member(
+    candidates: tuple[Member, ...],
+    subject: bytes,
+) -> Member | None:
+    """Return the candidate with the highest rendezvous score."""
+    if not candidates:
+        return None
+    seed = xxhash.xxh3_64_intdigest(subject)
+    return max(
+        candidates,
+        key=lambda member: xxhash.xxh3_64_intdigest(member.name.encode(), seed),
+    )
+
+
+def rank_members(
+    candidates: tuple[Member, ...],
+    subject: bytes,
+    count: int,
+) -> list[Member]:
+    """Return the first `count` candidates in rendezvous order."""
+    seed = xxhash.xxh3_64_intdigest(subject)
+    ordered = sorted(
+        candidates,
+        key=lambda member: xxhash.xxh3_64_intdigest(member.name.encode(), seed),
+        reverse=True,
+    )
+    return ordered[:count]
+
+
+class Owners:
+    """Owners of shards and trackers of flows, cached while members stand."""
+
+    __slots__ = ('_members', '_owners', '_version')
+
+    def __init__(self, members: MemberTable) -> None:
+        self._members = members
+        self._owners: dict[str, Member] = {}
+        self._version = 0
+
+    def find(self, shard_name: str, zone: str) -> Member:
+        """Return the owner of a shard; this node if no member is eligible."""
+        if self._version != self._members.version:
+            self._owners.clear()
+            self._version = self._members.version
+        owner = self._owners.get(shard_name)
+        if owner is None:
+            owner = self._choose(shard_name, zone)
+            self._owners[shard_name] = owner
+        return owner
+
+    def owns(self, shard_name: str, zone: str) -> bool:
+        """Tell whether this node owns the shard."""
+        return self.find(shard_name, zone).name == self._members.own_name
+
+    def find_tracker(self, key: bytes) -> Member:
+        """Return the node that tracks a flow that may be silent."""
+        own = self._members.own
+        candidates = self._members.eligible(own.zone)
+        return choose_member(candidates, key) or own
+
+    def _choose(self, shard_name: str, zone: str) -> Member:
+        subject = shard_name.encode()
+        candidates = self._members.eligible(zone) or self._members.eligible()
+        return choose_member(candidates, subject) or self._members.own
+
+
+def choose_shard(shards: tuple[Shard, ...], key: bytes) -> Shard | None:
+    """Return the shard for a flow by weighted rendezvous of its key.
+
+    The choice depends only on the key and the shards, so every node with the
+    same configuration makes the same one.
+    """
+    best: Shard | None = None
+    best_score = float(-1)
+    seed = xxhash.xxh3_64_intdigest(key)
+    for shard in shards:
+        if not shard.weight:
+            continue
+        shard_score = _weigh(
+            xxhash.xxh3_64_intdigest(shard.name.encode(), seed),
+            shard.weight,
+        )
+        if best is None or shard_score > best_score:
+            best = shard
+            best_score = shard_score
+    return best
+
+
+def _weigh(hashed: int, weight: int) -> float:
+    """Return u ** (1 / weight) for u uniform in (0, 1): weighted rendezvous."""
+    uniform = (hashed + 1) / ((1 << 64) + 1)
+    return float(uniform ** (1 / weight))
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the packet path, control cost and policies."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: starts stand-ins and daemons, and checks the promises."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around a node, outside the shipped package."""
