--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import argparse
 import importlib
-import subprocess  # noqa: S404
+import subprocess
 from pathlib import Path
 
 from bench.rows import Row
@@ -57,7 +57,7 @@
         str(row.seed),
         commit,
     )
-    return '| {0} |'.format(' | '.join(cells))
+    return f'| {" | ".join(cells)} |'
 
 
 if __name__ == '__main__':
