Add membership, spread of records and backend numbers

Cause: nodes did not know each other, records reached only a node that was told, and no backend had a number. Change: messages between nodes; SWIM with a second ping to the successor on a ring of names; pushes, digests and pulls of records; the role of watching the platform with its back-off; numbers written by compare-and-swap.

--- a/apricottally/effects.py
+++ b/apricottally/effects.py
@@ -26,7 +26,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StartWatch:
-    """List the platform's records and watch them from then on."""
+    """List the platform's records and watch them from then on.
+
+    A watch that is already running ends first. The reducer decides on
+    delays; the shell reports a failure and does not try again by itself.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricottally/model.py
+++ b/apricottally/model.py
@@ -18,6 +18,12 @@
 WORKSPACE_PREFIX = '/apricottally/workspaces/'
 BACKEND_PREFIX = '/apricottally/backends/'
 MACHINE_PREFIX = '/vms/'
+PREFIXES = (
+    TEMPLATE_PREFIX,
+    WORKSPACE_PREFIX,
+    BACKEND_PREFIX,
+    MACHINE_PREFIX,
+)
 
 MAX_VALUE_BYTES = 1_000_000
 # Operation ids kept in a document for reading back.
--- /dev/null
+++ b/apricottally/peerlink.py
@@ -0,0 +1,58 @@
+"""Datagrams from other nodes, handed to the protocol they belong to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from apricottally import (
+    memberlist,
+    membership,
+    messages,
+    repair,
+    transfer,
+)
+from apricottally.addresses import Endpoint
+from apricottally.effects import Effect
+from apricottally.errors import WireError
+from apricottally.events import PeerReceived
+
+if TYPE_CHECKING:
+    from apricottally.state import NodeState
+
+
+def receive_peer(state: NodeState, event: PeerReceived) -> list[Effect]:
+    """Handle a datagram of another node; a malformed one is only counted."""
+    try:
+        message = messages.decode(event.payload)
+    except WireError as error:
+        state.counters.add('peer_dropped', error.reason)
+        return []
+    handle = _HANDLERS[type(message)]
+    return handle(state, event.now, event.source, message)
+
+
+def tick(state: NodeState, now: float) -> list[Effect]:
+    """Ask again for what other nodes have not answered."""
+    return [*repair.tick(state, now), *transfer.tick(state, now)]
+
+
+_Handler = Callable[['NodeState', float, Endpoint, Any], list[Effect]]
+
+_HANDLERS: dict[type, _Handler] = {
+    messages.Ping: membership.receive_ping,
+    messages.Ack: membership.receive_ack,
+    messages.PingRequest: membership.receive_ping_request,
+    messages.Gossip: membership.receive_gossip,
+    messages.MemberQuery: memberlist.receive_query,
+    messages.MemberPage: memberlist.receive_page,
+    messages.Push: repair.receive_push,
+    messages.Offer: transfer.receive_offer,
+    messages.ChunkQuery: transfer.receive_query,
+    messages.Chunk: transfer.receive_chunk,
+    messages.DigestQuery: repair.receive_digest_query,
+    messages.DigestReply: repair.receive_digests,
+    messages.ListQuery: repair.receive_list_query,
+    messages.ListReply: repair.receive_list,
+    messages.FetchQuery: repair.receive_fetch_query,
+}
--- a/apricottally/records.py
+++ b/apricottally/records.py
@@ -20,13 +20,14 @@
 class RecordStore:
     """Records by key, with a digest a bucket and one over all buckets."""
 
-    __slots__ = ('_buckets', 'records', 'revision')
+    __slots__ = ('_buckets', '_keys', 'records', 'revision')
 
     def __init__(self) -> None:
         self.records: dict[str, Record] = {}
         # Highest version seen in any record.
         self.revision = 0
         self._buckets = [0] * BUCKETS
+        self._keys: list[set[str]] = [set() for _ in range(BUCKETS)]
 
     def apply(self, record: Record) -> bool:
         """Take a record if it is newer and well formed; tell whether taken.
@@ -79,20 +80,20 @@
         """Return the digest of each bucket."""
         return tuple(self._buckets)
 
-    def list_buckets(self, buckets: Iterable[int]) -> list[Record]:
-        """Return all records of the named buckets, deletions included."""
-        wanted = set(buckets)
-        return [
-            record
-            for key, record in self.records.items()
-            if bucket_of(key) in wanted
-        ]
+    def list_bucket(self, bucket: int, after: str) -> list[Record]:
+        """Return a bucket's records by key, from `after` on.
+
+        Deletions are included.
+        """
+        keys = sorted(key for key in self._keys[bucket] if key > after)
+        return [self.records[key] for key in keys]
 
     def _replace(self, held: Record | None, record: Record) -> None:
         bucket = bucket_of(record.key)
         if held is not None:
             self._buckets[bucket] ^= _fingerprint(held)
         self._buckets[bucket] ^= _fingerprint(record)
+        self._keys[bucket].add(record.key)
         self.records[record.key] = record
         self.revision = max(self.revision, record.version)
 
--- a/apricottally/reducer.py
+++ b/apricottally/reducer.py
@@ -7,8 +7,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from apricottally import admission, dissemination, forwarding, membership
-from apricottally.effects import Effect, Exit, WriteLog
+from apricottally import (
+    admission,
+    dissemination,
+    forwarding,
+    membership,
+    numbering,
+    peerlink,
+    watch,
+)
+from apricottally.effects import Effect, Exit
 from apricottally.events import (
     Event,
     LoadReported,
@@ -32,40 +40,28 @@
     return [
         *membership.tick(state, event),
         *dissemination.tick(state, event),
+        *peerlink.tick(state, event.now),
+        *numbering.tick(state, event),
         *admission.tick(state, event.now),
     ]
 
 
-def _receive_peer(state: NodeState, event: PeerReceived) -> list[Effect]:
-    return []
-
-
-def _lose_platform(state: NodeState, event: PlatformLost) -> list[Effect]:
-    state.counters.add('platform_lost', event.reason)
-    return [WriteLog('platform_lost', {'reason': event.reason})]
-
-
-def _complete_swap(state: NodeState, event: SwapCompleted) -> list[Effect]:
-    state.counters.add('swap', event.outcome)
-    return []
-
-
 def _take_load(state: NodeState, event: LoadReported) -> list[Effect]:
     return []
 
 
 def _shut_down(state: NodeState, event: ShutdownRequested) -> list[Effect]:
     state.stopping = True
-    return [Exit(0)]
+    return [*membership.leave(state, event.now), Exit(0)]
 
 
 _HANDLERS: dict[type, Callable[[NodeState, Any], list[Effect]]] = {
     PacketReceived: forwarding.receive_packet,
-    PeerReceived: _receive_peer,
+    PeerReceived: peerlink.receive_peer,
     Ticked: _tick,
     RecordsReceived: dissemination.receive_records,
-    PlatformLost: _lose_platform,
-    SwapCompleted: _complete_swap,
+    PlatformLost: watch.lose,
+    SwapCompleted: numbering.complete_swap,
     LoadReported: _take_load,
     ShutdownRequested: _shut_down,
 }
--- a/apricottally/state.py
+++ b/apricottally/state.py
@@ -5,6 +5,7 @@
 
 from apricottally.addresses import Endpoint
 from apricottally.admission import Admissions
+from apricottally.control import create_control
 from apricottally.counters import Counters
 from apricottally.explanation import Decisions
 from apricottally.invariants import Invariants
@@ -53,6 +54,7 @@
         self.records = RecordStore()
         self.routes = RouteTable()
         self.members = MemberTable(config.member())
+        self.control = create_control(self.members.own)
         self.owners = Owners(self.members)
         self.admissions = Admissions()
         self.decisions = Decisions()
