--- a/apricottally/membership.py
+++ b/apricottally/membership.py
@@ -19,7 +19,14 @@
 from apricottally.events import Ticked
 from apricottally.members import Member, MemberState
 from apricottally.messages import Ack, Gossip, Ping, PingRequest, View
-from apricottally.swim import Probe, learn, put, rank, suspect
+from apricottally.swim import (
+    RECHECK_S,
+    Probe,
+    learn,
+    put,
+    rank,
+    suspect,
+)
 
 if TYPE_CHECKING:
     from apricottally.state import NodeState
@@ -37,6 +44,8 @@
 # A gap between ticks that shows that this process did not run.
 PAUSE_S = 1.0
 GOSSIP_PEERS = 3
+# A ping with few changes.
+PING_BYTES = 200
 
 
 def tick(state: NodeState, event: Ticked) -> list[Effect]:
@@ -51,6 +60,7 @@
     swim.peers.refresh(state.members)
     effects = _check_probes(state, now)
     effects += _check_suspects(state, now)
+    effects += _recheck_suspects(state, now)
     if now >= swim.next_ping:
         swim.next_ping = now + PING_PERIOD_S
         effects += _ping_next(state, now)
@@ -177,8 +187,8 @@
     """Forget probes whose answers this process could not read in time."""
     swim = state.control.swim
     swim.probes.clear()
-    for name in swim.suspects:
-        swim.suspects[name] += gap
+    for suspicion in swim.suspects.values():
+        suspicion.deadline += gap
     state.counters.add('member', 'paused')
 
 
@@ -225,7 +235,11 @@
     """Declare lapsed suspects dead and forget nodes that died long ago."""
     swim = state.control.swim
     effects: list[Effect] = []
-    lapsed = [name for name, at in swim.suspects.items() if at <= now]
+    lapsed = [
+        name
+        for name, suspicion in swim.suspects.items()
+        if suspicion.deadline <= now
+    ]
     for name in lapsed:
         swim.suspects.pop(name)
         held = state.members.members[name]
@@ -238,6 +252,21 @@
     return effects
 
 
+def _recheck_suspects(state: NodeState, now: float) -> list[Effect]:
+    """Ask suspects themselves, in case their refutation was lost."""
+    swim = state.control.swim
+    effects: list[Effect] = []
+    for name, suspicion in swim.suspects.items():
+        if now < suspicion.recheck:
+            continue
+        suspicion.recheck = now + RECHECK_S
+        target = state.members.members[name]
+        if swim.gossip_budget.take(now, PING_BYTES):
+            probe = Probe(name, now, contact=True)
+            effects.append(_ping(state, target.peer, probe))
+    return effects
+
+
 def _ping_next(state: NodeState, now: float) -> list[Effect]:
     """Ping the next member of a shuffled list, so that none is left out."""
     swim = state.control.swim
--- a/apricottally/swim.py
+++ b/apricottally/swim.py
@@ -23,6 +23,8 @@
     from apricottally.state import NodeState
 
 SUSPICION_S = 3.0
+# When a node that missed a refutation asks the suspect itself.
+RECHECK_S = 1.2
 # A message of nine changes and the sender then fits a datagram.
 MAX_MEMBER_BYTES = 100
 GOSSIP_BYTES_PER_S = 1000
@@ -44,12 +46,20 @@
     indirect: bool = False
 
 
+@dataclass(slots=True)
+class Suspicion:
+    """When a suspect is declared dead, and when it is asked again."""
+
+    deadline: float
+    recheck: float
+
+
 @dataclass(slots=True)
 class Swim:
     """Probes, suspicions and changes to pass on.
 
-    `suspects` maps a name to the time at which it is declared dead, `dead`
-    to the time at which it was; `digest` covers all members but dead ones.
+    `dead` maps a name to the time at which it was declared dead; `digest`
+    covers all members but dead ones.
     """
 
     sequence: int = 0
@@ -58,7 +68,7 @@
     next_contact: float = 0
     order: list[str] = field(default_factory=list)
     probes: dict[int, Probe] = field(default_factory=dict)
-    suspects: dict[str, float] = field(default_factory=dict)
+    suspects: dict[str, Suspicion] = field(default_factory=dict)
     dead: dict[str, float] = field(default_factory=dict)
     rumours: Rumours = field(default_factory=Rumours)
     peers: Peers = field(default_factory=Peers)
@@ -92,7 +102,7 @@
     held = state.members.members.get(name)
     if held is None or held.state is MemberState.dead:
         return []
-    state.control.swim.suspects.setdefault(name, now + SUSPICION_S)
+    _open_suspicion(state.control.swim, now, name)
     if held.state is not MemberState.alive:
         return []
     update = msgspec.structs.replace(held, state=MemberState.suspect)
@@ -149,9 +159,14 @@
     return [WriteLog('member_changed', {'node': update.name, 'state': name})]
 
 
+def _open_suspicion(swim: Swim, now: float, name: str) -> None:
+    suspicion = Suspicion(now + SUSPICION_S, now + RECHECK_S)
+    swim.suspects.setdefault(name, suspicion)
+
+
 def _keep_deadlines(swim: Swim, now: float, update: Member) -> None:
     if update.state is MemberState.suspect:
-        swim.suspects.setdefault(update.name, now + SUSPICION_S)
+        _open_suspicion(swim, now, update.name)
     else:
         swim.suspects.pop(update.name, None)
     if update.state is MemberState.dead:
