Test the spread of records

Cause: no test covered order, loss, lists of a lagging platform, damaged values, restarts during an outage, the watch role and its back-off. Change: tables of cases, and in-process nodes over a lossy transport. Conclusion: no product change was needed.

--- /dev/null
+++ b/tests/test_dissemination.py
@@ -0,0 +1,396 @@
+"""Records reach every node once, in any order, and never go back."""
+
+import itertools
+import random
+from dataclasses import replace
+from functools import partial
+
+import msgspec
+import pytest
+
+from apricottally import dissemination, messages, model
+from apricottally.effects import Effect, SendPeer, StartWatch, StopWatch
+from apricottally.errors import InvariantError
+from apricottally.events import (
+    Event,
+    PeerReceived,
+    PlatformLost,
+    Record,
+    RecordsReceived,
+    Ticked,
+)
+from apricottally.members import Member
+from apricottally.reducer import reduce
+from apricottally.state import NodeState
+from standins.mesh import Faults, Mesh, build_configs
+
+LOSSY = Faults(loss=0.1, duplication=0.1, max_delay_s=0.05)
+FEED = '/apricottally/templates/feed'
+PEER = ('10.0.0.9', 6081)
+
+
+def build_template(op: str, service: str = 'desk') -> bytes:
+    template = model.Template(
+        service,
+        model.Urgency.urgent,
+        443,
+        model.Holding.slot,
+    )
+    return model.encode_document(op, 'tester', template)
+
+
+def build_large(op: str, backends: int) -> bytes:
+    """Return numbers of so many backends, which take several chunks."""
+    listed = tuple(
+        model.Backend(
+            number,
+            f'vm-{random.Random(number).getrandbits(64):x}',
+            f'10.1.{number // 250}.{number % 250}',
+            'a',
+            2,
+            2000,
+            model.BackendState.active,
+        )
+        for number in range(backends)
+    )
+    return model.encode_document(op, 'tester', model.BackendSet(listed))
+
+
+def build_state() -> NodeState:
+    """Return a node without seeds, which counts as joined at once."""
+    config = build_configs({'a': 1})['node-a-0000']
+    return NodeState(replace(config, seeds=()), random.Random(1))
+
+
+def push(*records: Record) -> PeerReceived:
+    items = tuple(
+        messages.Item(record.key, record.version, record.value)
+        for record in records
+    )
+    return PeerReceived(0, PEER, messages.encode(messages.Push(items)))
+
+
+def hold(mesh: Mesh, record: Record) -> bool:
+    """Tell whether a record is in force at every node."""
+    return all(
+        state.records.version_of(record.key) == record.version
+        and not state.control.spread.stale_routes
+        for state in mesh.list_states()
+    )
+
+
+def run_ready(mesh: Mesh) -> None:
+    assert (
+        mesh.run_until(
+            lambda: all(map(dissemination.is_ready, mesh.list_states())),
+            30,
+        )
+        <= 30
+    )
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('faults', [Faults(), LOSSY])
+def test_change_is_in_force_everywhere(seed: int, faults: Faults) -> None:
+    """Guards against nodes that a change never reaches."""
+    print('seed', seed)
+    mesh = Mesh(seed, {'a': 12, 'b': 12, 'c': 12}, faults)
+    run_ready(mesh)
+    for number in range(10):
+        record = mesh.platform.write(FEED, build_template(str(number)))
+        assert mesh.run_until(partial(hold, mesh, record), 7) <= 7
+
+
+@pytest.mark.parametrize('faults', [Faults(), LOSSY])
+def test_large_value_arrives_whole(faults: Faults) -> None:
+    """Guards against a value put together from chunks that do not fit."""
+    mesh = Mesh(1, {'a': 10, 'b': 10}, faults)
+    run_ready(mesh)
+    key = '/apricottally/backends/desk'
+    for backends in (100, 1000):
+        value = build_large(str(backends), backends)
+        record = Record(key, 10**6 + backends, value)
+        name, node = next(iter(mesh.nodes.items()))
+        event = RecordsReceived(
+            mesh.timeline.now,
+            (record,),
+            record.version,
+            complete=False,
+        )
+        mesh.feed(name, node, event)
+        assert mesh.run_until(partial(hold, mesh, record), 7) <= 7
+        for state in mesh.list_states():
+            assert state.records.records[key].value == value
+            assert not state.control.transfers.fetches
+
+
+VERSIONS = (
+    Record(FEED, 2, build_template('two')),
+    Record(FEED, 4, None),
+    Record(FEED, 7, build_template('seven')),
+)
+
+
+@pytest.mark.parametrize('order', list(itertools.permutations(VERSIONS)))
+@pytest.mark.parametrize('source', ['peer', 'platform'])
+def test_any_order_ends_at_the_newest(
+    order: tuple[Record, ...],
+    source: str,
+) -> None:
+    """Guards against an old or repeated record that replaces a newer one."""
+    state = build_state()
+    for record in (*order, *order):
+        event: Event = push(record)
+        if source == 'platform':
+            event = RecordsReceived(0, (record,), record.version, False)
+        reduce(state, event)
+    assert state.records.records[FEED] == VERSIONS[-1]
+    assert state.records.digest() == _digest_of(VERSIONS[-1])
+
+
+def _digest_of(record: Record) -> int:
+    state = build_state()
+    reduce(state, push(record))
+    return state.records.digest()
+
+
+def test_reverted_version_breaks_invariant(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a store that goes back unnoticed."""
+    state = build_state()
+    reduce(state, push(VERSIONS[2]))
+
+    def replace(record: Record) -> bool:
+        state.records.records[record.key] = record
+        return True
+
+    monkeypatch.setattr(type(state.records), 'apply', lambda _, r: replace(r))
+    with pytest.raises(InvariantError):
+        reduce(state, push(VERSIONS[0]))
+
+
+@pytest.mark.parametrize(
+    ('listed', 'revision', 'kept'),
+    [
+        # The list is newer than the record that it lacks.
+        ((), 9, False),
+        # A platform that lags, or was restarted, does not know the record.
+        ((), 5, True),
+        ((), 1, True),
+        # It knows an older value.
+        (((3, 'old'),), 5, True),
+    ],
+)
+def test_complete_list_against_newer_record(
+    listed: tuple[tuple[int, str], ...],
+    revision: int,
+    kept: bool,
+) -> None:
+    """Guards against a lagging platform that deletes or reverts."""
+    state = build_state()
+    newest = Record(FEED, 7, build_template('seven'))
+    reduce(state, push(newest))
+    records = tuple(
+        Record(FEED, version, build_template(op)) for version, op in listed
+    )
+    reduce(state, RecordsReceived(0, records, revision, complete=True))
+    held = state.records.records[FEED]
+    assert held == (newest if kept else Record(FEED, 9, None))
+
+
+@pytest.mark.parametrize(
+    ('key', 'version', 'value', 'kind'),
+    [
+        (FEED, 9, b'', 'templates'),
+        (FEED, 9, build_template('x')[:-5], 'templates'),
+        (FEED, 9, build_template('x', service=''), 'templates'),
+        (FEED, 9, b'\xff' * 50, 'templates'),
+        (FEED, 9, b' ' * 1_000_001, 'templates'),
+        (FEED, 0, build_template('x'), 'templates'),
+        (FEED, -3, build_template('x'), 'templates'),
+        (FEED, 1 << 63, build_template('x'), 'templates'),
+        ('/vms/x', 9, b'{"ip": 1}', 'vms'),
+        ('/vms/' + 'x' * 200, 9, None, 'vms'),
+        ('nonsense', 9, b'{}', 'other'),
+        ('/apricottally/backends/desk', 9, build_template('x'), 'backends'),
+    ],
+)
+def test_bad_value_is_refused_whole(
+    key: str,
+    version: int,
+    value: bytes | None,
+    kind: str,
+) -> None:
+    """Guards against a damaged value that replaces the last good one."""
+    state = build_state()
+    good = Record(FEED, 5, build_template('good'))
+    reduce(state, push(good))
+    bad = Record(key, version, value)
+    reduce(state, RecordsReceived(0, (bad,), 9, complete=False))
+    assert state.records.records == {FEED: good}
+    assert state.counters.total('record_refused', kind) == 1
+    assert state.routes.services == {}
+
+
+@pytest.mark.parametrize(
+    ('damage', 'chunks', 'reason'),
+    [
+        ({'payload': b'x' * 900}, 1, 'torn'),
+        ({'digest': 1}, 99, 'torn'),
+        ({'index': 99}, 1, 'foreign_chunk'),
+        ({'count': 10**6}, 1, 'foreign_chunk'),
+        ({'index': -1}, 1, 'foreign_chunk'),
+    ],
+)
+def test_torn_transfer_is_refused(
+    damage: dict[str, object],
+    chunks: int,
+    reason: str,
+) -> None:
+    """Guards against a value used with a wrong chunk in it."""
+    owner, taker = build_state(), build_state()
+    key = '/apricottally/backends/desk'
+    record = Record(key, 5, build_large('x', 100))
+    reduce(owner, RecordsReceived(0, (record,), 5, complete=False))
+    offer = messages.Offer(messages.Entry(key, 5, len(record.value or b'')))
+    pending = reduce(taker, PeerReceived(0, PEER, messages.encode(offer)))
+    while pending:
+        query = pending.pop(0)
+        assert isinstance(query, SendPeer)
+        for answer in reduce(owner, PeerReceived(0, PEER, query.payload)):
+            assert isinstance(answer, SendPeer)
+            chunk = messages.decode(answer.payload)
+            if chunks:
+                chunk = msgspec.structs.replace(chunk, **damage)
+                chunks -= 1
+            payload = messages.encode(chunk)
+            pending += reduce(taker, PeerReceived(0, PEER, payload))
+    assert taker.counters.total('transfer', reason) == 1
+    assert taker.records.records == {}
+
+
+def test_fetches_are_bounded() -> None:
+    """Guards against reassembly memory that others can fill."""
+    state = build_state()
+    for number in range(20):
+        entry = messages.Entry(f'/vms/{number}', 5, 900_000)
+        payload = messages.encode(messages.Offer(entry))
+        reduce(state, PeerReceived(0, PEER, payload))
+    assert len(state.control.transfers.fetches) == 4
+    for tick in range(100):
+        reduce(state, Ticked(tick / 10, 0))
+    assert not state.control.transfers.fetches
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('faults', [Faults(), LOSSY])
+def test_zone_restarts_during_outage(seed: int, faults: Faults) -> None:
+    """Guards against new nodes that need the platform, or go back."""
+    print('seed', seed)
+    mesh = Mesh(seed, {'a': 10, 'b': 10}, faults)
+    run_ready(mesh)
+    for number in range(200):
+        mesh.platform.write(f'{FEED}{number}', build_template('first'))
+    mesh.run(10)
+    record = mesh.platform.write(f'{FEED}7', build_template('new'))
+    mesh.platform.write(f'{FEED}8', None)
+    mesh.run(7)
+    mesh.platform.stop()
+    zone = [name for name in mesh.nodes if name.startswith('node-b')]
+    for name in zone:
+        mesh.kill(name)
+    mesh.run(10)
+    for name in zone:
+        mesh.start(name)
+    run_ready(mesh)
+    assert mesh.run_until(partial(hold, mesh, record), 5) <= 5
+    digests = {state.records.digest() for state in mesh.list_states()}
+    assert len(digests) == 1
+
+
+def test_older_neighbour_changes_nothing() -> None:
+    """Guards against a node cut off for long that brings old records back."""
+    mesh = Mesh(2, {'a': 8, 'b': 8})
+    run_ready(mesh)
+    for name in ('kept', 'gone'):
+        mesh.platform.write(f'{FEED}-{name}', build_template('first'))
+    mesh.run(7)
+    mesh.cuts.append(frozenset('b'))
+    mesh.run(3)
+    kept = mesh.platform.write(f'{FEED}-kept', build_template('second'))
+    gone = mesh.platform.write(f'{FEED}-gone', None)
+    mesh.run(20)
+    cut = mesh.nodes['node-b-0001'].state
+    assert cut.records.version_of(kept.key) < kept.version
+    mesh.cuts.clear()
+    mesh.run(40)
+    assert hold(mesh, kept)
+    assert hold(mesh, gone)
+
+
+def test_only_first_nodes_of_each_zone_watch() -> None:
+    """Guards against a node count that the platform has to bear."""
+    mesh = Mesh(1, {'a': 20, 'b': 2, 'c': 10})
+    run_ready(mesh)
+    mesh.run(30)
+    watching = [
+        state.config.zone
+        for state in mesh.list_states()
+        if state.control.watch.active
+    ]
+    assert sorted(watching) == ['a'] * 3 + ['b'] * 2 + ['c'] * 3
+    mesh.kill(next(iter(mesh.platform.watchers)))
+    mesh.run(10)
+    assert len(mesh.platform.watchers) == 8
+
+
+def test_role_starts_and_stops_the_watch() -> None:
+    """Guards against watches that are never started, or never ended."""
+    state = build_state()
+    assert StartWatch() in reduce(state, Ticked(0, 0))
+    assert StartWatch() not in reduce(state, Ticked(0.1, 0))
+    for number in range(40):
+        member = Member(f'n{number}', 'a', f'10.0.1.{number}', 6080, 6081)
+        state.members.put(member)
+    assert StopWatch() in reduce(state, Ticked(0.2, 0))
+
+
+def test_platform_back_off() -> None:
+    """Guards against calls that a platform in an outage cannot bear."""
+    delays = []
+    state = build_state()
+    now = 0.0
+    reduce(state, Ticked(now, 0))
+    for _ in range(400):
+        reduce(state, PlatformLost(now, 'down'))
+        reduce(state, PlatformLost(now, 'down'))
+        started = now
+        effects: list[Effect] = []
+        while StartWatch() not in effects:
+            now += 0.1
+            effects = reduce(state, Ticked(now, 0))
+        delays.append(now - started)
+    for failures, delay in enumerate(delays[:7]):
+        assert delay <= min(60, 2**failures) + 0.2
+    assert max(delays) <= 60.2
+    later = delays[7:]
+    assert 25 < sum(later) / len(later) < 35
+    assert min(later) < 5
+    reduce(state, RecordsReceived(now, (), 1, complete=True))
+    assert state.control.watch.failures == 0
+
+
+def test_outage_ends() -> None:
+    """Guards against watchers that do not come back after an outage."""
+    mesh = Mesh(1, {'a': 6, 'b': 6})
+    run_ready(mesh)
+    mesh.platform.stop()
+    mesh.run(200)
+    calls = mesh.platform.calls
+    mesh.run(300)
+    # 6 watchers, a mean delay of 30 s.
+    assert (mesh.platform.calls - calls) / 300 < 0.6
+    mesh.platform.down = False
+    record = mesh.platform.write(FEED, build_template('x'))
+    assert mesh.run_until(partial(hold, mesh, record), 65) <= 65
