--- a/apricottally/dissemination.py
+++ b/apricottally/dissemination.py
@@ -200,15 +200,11 @@
 ) -> tuple[Record, ...]:
     """Add deletions for keys that a complete list no longer has.
 
-    A key whose version is not below the list's revision is newer than the
-    list, which then comes from a platform that lags behind.
+    A record that is newer than the list, which then comes from a platform
+    that lags behind, is not deleted: the store compares the versions.
     """
     if not event.complete:
         return event.records
     missing = state.records.list_missing(record.key for record in event.records)
-    deletions = tuple(
-        Record(key, event.revision, None)
-        for key in missing
-        if state.records.version_of(key) < event.revision
-    )
+    deletions = tuple(Record(key, event.revision, None) for key in missing)
     return event.records + deletions
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -101,10 +101,15 @@
         self.nodes[name].paused = True
 
     def resume(self, name: str) -> None:
-        """Let a paused node go on; it reads what waited in its sockets."""
+        """Let a paused node go on.
+
+        Its timer fires before it reads what waited in its sockets.
+        """
         node = self.nodes[name]
         node.paused = False
         missed = tuple(node.missed)
+        now = self.timeline.now
+        self.feed(name, node, Ticked(now, START_S + now))
         node.missed.clear()
         for event in missed:
             self.feed(name, node, event)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from apricottally import membership, messages, swim
+from apricottally import memberlist, membership, messages, swim
 from apricottally.errors import InvariantError, WireError
 from apricottally.events import PeerReceived, ShutdownRequested, Ticked
 from apricottally.members import Member, MemberState
@@ -13,6 +13,8 @@
 from apricottally.state import NodeState
 from standins.mesh import Faults, Mesh, build_configs
 
+ALIVE = MemberState.alive
+OTHER = Member('x', 'a', '10.0.0.9', 6080, 6081, 2, MemberState.suspect)
 LOSSY = Faults(loss=0.1, duplication=0.1, max_delay_s=0.05)
 
 
@@ -77,8 +79,11 @@
 )
 def test_paused_node_refutes(pause_s: float, dead: bool) -> None:
     """Guards against a node that stays dead after it has woken up."""
-    mesh = run_joined(1, {'a': 10, 'b': 10}, Faults())
+    mesh = run_joined(1, {'a': 10, 'b': 10}, Faults(max_delay_s=0.05))
     name = 'node-a-0005'
+    # An answer to its own ping waits in its socket meanwhile.
+    while not mesh.nodes[name].state.control.swim.probes:
+        mesh.run(0.01)
     mesh.pause(name)
     mesh.run(pause_s)
     assert (MemberState.dead in views_of(mesh, name)) is dead
@@ -100,6 +105,19 @@
     assert mesh.run_until(lambda: agree(mesh), 40) <= 40
 
 
+def test_listed_dead_node_may_refute() -> None:
+    """Guards against nodes held dead in their own zone while a cut heals."""
+    config = build_configs({'a': 1})['node-a-0000']
+    state = NodeState(config, random.Random(1))
+    swim.learn(state, 0, (msgspec.structs.replace(OTHER, state=ALIVE),))
+    source = ('10.0.0.9', 6081)
+    state.control.memberlist.transfer = memberlist.Transfer(source, 0)
+    dead = msgspec.structs.replace(OTHER, state=MemberState.dead)
+    page = messages.MemberPage('', (dead,), more=False)
+    reduce(state, PeerReceived(0, source, messages.encode(page)))
+    assert state.members.members['x'].state is MemberState.suspect
+
+
 def test_cut_zone_is_excluded() -> None:
     """Guards against shards of a cut zone that stay with its nodes."""
     mesh = run_joined(3, {'a': 12, 'b': 12}, Faults())
@@ -146,9 +164,6 @@
     assert views_of(mesh, 'node-a-0003') == {None}
 
 
-OTHER = Member('x', 'a', '10.0.0.9', 6080, 6081, 2, MemberState.suspect)
-
-
 @pytest.mark.parametrize(
     ('incarnation', 'news', 'taken'),
     [
