Repair records that two neighbours on the ring both miss

Cause: an equal digest reset the clock of a difference. Two neighbours that had both missed a record pinged each other every second and kept each other from asking anyone else. Change: only three seconds without a difference reset the clock, for records and for members; a peer with a lower revision is not asked.

--- a/apricottally/memberlist.py
+++ b/apricottally/memberlist.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import bisect
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,8 @@
 
 # Digests differ while changes spread; a list is large.
 DIFFERENCE_S = 5.0
+# Without a differing digest for so long, the next one counts as the first.
+FORGET_S = 3.0
 # Of 1,500 members about four lists at once, then one in a minute.
 LIST_BYTES_PER_S = 1200
 LIST_BURST_BYTES = 300_000
@@ -51,13 +54,16 @@
     """Progress of this node's transfers.
 
     `joined` says that the node knows the members, or reached nobody.
+    `differs_since` is when a peer's digest first differed, `differed` when
+    one did last.
     `names` are the sorted names at the version `names_version`.
     """
 
     joined: bool = False
     started: float | None = None
     transfer: Transfer | None = None
-    differs_since: float | None = None
+    differs_since: float = -math.inf
+    differed: float = -math.inf
     names: list[str] = field(default_factory=list)
     names_version: int = 0
     budget: Budget = field(
@@ -94,11 +100,8 @@
     """Compare a peer's digest of members with this node's."""
     progress = state.control.memberlist
     if digest == state.control.swim.digest:
-        progress.differs_since = None
         progress.joined = True
         return []
-    if progress.differs_since is None:
-        progress.differs_since = now
     if progress.transfer is not None or not _is_due(state, now):
         return []
     progress.transfer = Transfer(source, now)
@@ -151,7 +154,7 @@
         effects.append(_ask(transfer, now))
         return effects
     progress.transfer = None
-    progress.differs_since = None
+    progress.differed = -math.inf
     progress.joined = True
     return effects
 
@@ -161,7 +164,10 @@
     progress = state.control.memberlist
     if not progress.joined:
         return True
-    if now - (progress.differs_since or now) < DIFFERENCE_S:
+    if now - progress.differed > FORGET_S:
+        progress.differs_since = now
+    progress.differed = now
+    if now - progress.differs_since < DIFFERENCE_S:
         return False
     size = len(state.members.members) * MEMBER_BYTES
     return progress.budget.take(now, min(size, LIST_BURST_BYTES))
--- a/apricottally/membership.py
+++ b/apricottally/membership.py
@@ -151,6 +151,7 @@
 def build_view(state: NodeState) -> View:
     """Return what this node tells of its state in pings."""
     return View(
+        state.records.revision,
         state.records.digest(),
         state.control.swim.digest,
         state.control.repair.ready,
--- a/apricottally/messages.py
+++ b/apricottally/messages.py
@@ -27,9 +27,11 @@
 class View(msgspec.Struct, frozen=True, array_like=True):
     """What a node holds, in brief: 64-bit digests of records and members.
 
-    `ready` says that the node once had a complete configuration.
+    `revision` is the highest version of its records; `ready` says that the
+    node once had a complete configuration.
     """
 
+    revision: int
     digest: int
     members: int
     ready: bool
--- a/apricottally/repair.py
+++ b/apricottally/repair.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -34,6 +35,8 @@
 
 # A pushed record reaches nearly all nodes sooner.
 DIFFERENCE_S = 1.0
+# Without a differing digest for so long, the next one counts as the first.
+FORGET_S = 3.0
 RETRY_S = 0.3
 MAX_TRIES = 4
 # An hour's changes are repaired at once; the mean stays low.
@@ -65,12 +68,14 @@
 class Repair:
     """Whether this node is ready, and its present pull.
 
-    `differs_since` is when a peer's digest first differed, with no equal
-    one since.
+    `differs_since` is when a peer's digest first differed, `differed` when
+    one did last. An equal digest does not reset them: two neighbours that
+    have missed the same record would keep each other from asking for it.
     """
 
     ready: bool = False
-    differs_since: float | None = None
+    differs_since: float = -math.inf
+    differed: float = -math.inf
     session: Session | None = None
     budget: Budget = field(
         default_factory=lambda: Budget(REPAIR_BYTES_PER_S, REPAIR_BURST_BYTES),
@@ -89,19 +94,28 @@
         return []
     if view.digest == state.records.digest():
         repair.ready = True
-        repair.differs_since = None
         return []
-    if repair.differs_since is None:
-        repair.differs_since = now
-    if repair.session is not None:
-        return []
-    if repair.ready and now - repair.differs_since < DIFFERENCE_S:
+    if repair.session is not None or not _is_due(state, now, view):
         return []
     state.counters.add('repair', 'started')
     repair.session = Session(source, now)
     return _continue(state, now, repair.session)
 
 
+def _is_due(state: NodeState, now: float, view: View) -> bool:
+    """Tell whether a differing digest is reason enough to start a pull."""
+    repair = state.control.repair
+    if not repair.ready:
+        return True
+    if view.revision < state.records.revision:
+        # The peer lacks something, and asks for it itself.
+        return False
+    if now - repair.differed > FORGET_S:
+        repair.differs_since = now
+    repair.differed = now
+    return now - repair.differs_since >= DIFFERENCE_S
+
+
 def tick(state: NodeState, now: float) -> list[Effect]:
     """Ask again, or give up a peer that does not answer."""
     session = state.control.repair.session
@@ -257,7 +271,7 @@
         query = ListQuery(session.buckets[-1], session.after)
     else:
         state.control.repair.session = None
-        state.control.repair.differs_since = None
+        state.control.repair.differed = -math.inf
         return []
     repair = state.control.repair
     session.asked = now
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -327,6 +327,22 @@
     assert hold(mesh, gone)
 
 
+def test_equal_neighbour_does_not_stop_repair() -> None:
+    """Guards against two nodes that missed the same record and stay so."""
+    state = build_state()
+    reduce(state, RecordsReceived(0, VERSIONS[:1], 2, complete=True))
+    member = Member('x', 'a', '10.0.0.9', 6080, 6081)
+    equal = messages.View(2, state.records.digest(), 1, ready=True)
+    newer = messages.View(7, 1, 1, ready=True)
+    for step in range(8):
+        view = newer if step % 2 else equal
+        payload = messages.encode(messages.Ping(step, member, view))
+        reduce(state, PeerReceived(step / 4, PEER, payload))
+    session = state.control.repair.session
+    assert session is not None
+    assert session.peer == PEER
+
+
 def test_only_first_nodes_of_each_zone_watch() -> None:
     """Guards against a node count that the platform has to bear."""
     mesh = Mesh(1, {'a': 20, 'b': 2, 'c': 10})
