--- /dev/null
+++ b/tests/test_monitoring.py
@@ -0,0 +1,90 @@
+"""The monitoring endpoint and the polls of backends' load."""
+
+import asyncio
+
+import pytest
+
+from apricottally import healthchecks, monitoring
+from apricottally.events import LoadReport
+from tests import nodes
+
+
+@pytest.mark.parametrize(
+    ('line', 'ready', 'status'),
+    [
+        (b'GET /live HTTP/1.1', False, '200 OK'),
+        (b'GET /ready HTTP/1.1', True, '200 OK'),
+        (b'GET /ready HTTP/1.1', False, '503 Service Unavailable'),
+        (b'GET /metrics HTTP/1.1', True, '200 OK'),
+        (b'GET /else HTTP/1.1', True, '404 Not Found'),
+        (b'POST /live HTTP/1.1', True, '405 Method Not Allowed'),
+        (b'\xff\x00', True, '400 Bad Request'),
+    ],
+)
+def test_answers(line: bytes, ready: bool, status: str) -> None:
+    """Guards against a node that is live but not ready getting traffic."""
+    responder = monitoring.Responder(nodes.build_state(), lambda: ready)
+    assert responder.answer(line).status == status
+
+
+def test_counters_are_exposed_by_reason() -> None:
+    """Guards against a refusal that no metric shows."""
+    state = nodes.build_state()
+    nodes.install(state, nodes.build_records((nodes.build_backend(1),)))
+    state.counters.add('refused', 'deadline', 3)
+    responder = monitoring.Responder(state, lambda: True)
+    body = responder.answer(b'GET /metrics HTTP/1.1').body.decode()
+    assert 'apricottally_refused_total{reason="deadline"} 3' in body
+    key = '/apricottally/workspaces/balm'
+    assert f'apricottally_record_version{{key="{key}"}} 12' in body
+
+
+@pytest.mark.parametrize(
+    ('answer', 'report'),
+    [
+        (
+            b'HTTP/1.1 200 OK\r\n\r\n{"busy":1,"open":5,"state":"ready"}',
+            LoadReport(1, 5, 'ready'),
+        ),
+        (b'HTTP/1.1 500 Oops\r\n\r\n{"busy":1,"open":5,"state":"ready"}', None),
+        (b'HTTP/1.1 200 OK\r\n\r\n{"busy":"x"}', None),
+        (b'HTTP/1.1 200 OK\r\n\r\n', None),
+        (b'garbage', None),
+    ],
+)
+def test_load_answers(answer: bytes, report: LoadReport | None) -> None:
+    """Guards against a misleading or malformed report stopping the polls."""
+    assert healthchecks.parse_answer(answer) == report
+
+
+def test_served_over_a_socket() -> None:
+    """Guards against a slow or closed scraper connection ending the server."""
+
+    async def scenario() -> bytes:
+        state = nodes.build_state()
+        endpoint = (nodes.loopback_ip(), 16083)
+        async with monitoring.open_monitoring(endpoint, state, lambda: True):
+            _, broken = await asyncio.open_connection(*endpoint)
+            broken.close()
+            reader, writer = await asyncio.open_connection(*endpoint)
+            writer.write(b'GET /live HTTP/1.1\r\nHost: x\r\n\r\n')
+            answer = await reader.read()
+            writer.close()
+            return answer
+
+    assert asyncio.run(scenario()).startswith(b'HTTP/1.1 200 OK')
+
+
+def test_port_in_use_has_its_own_error() -> None:
+    """Guards against a raw traceback when another process has the port."""
+
+    async def scenario() -> None:
+        state = nodes.build_state()
+        endpoint = (nodes.loopback_ip(), 16084)
+        first = monitoring.open_monitoring(endpoint, state, lambda: True)
+        second = monitoring.open_monitoring(endpoint, state, lambda: True)
+        async with first, second:
+            raise AssertionError('two servers on one port')
+
+    with pytest.raises(monitoring.MonitoringError, match='cannot listen'):
+        asyncio.run(scenario())
