--- /dev/null
+++ b/apricottally/__main__.py
@@ -0,0 +1,5 @@
+"""Run the daemon with `python -m apricottally`."""
+
+from apricottally.daemon import main
+
+main()
