--- a/apricottally/errors.py
+++ b/apricottally/errors.py
@@ -38,6 +38,15 @@
         self.problem = problem
 
 
+class SocketError(ApricottallyError):
+    """A socket that cannot be opened; `endpoint` is its address and port."""
+
+    def __init__(self, endpoint: tuple[str, int], problem: str) -> None:
+        super().__init__(f'{endpoint[0]}:{endpoint[1]}: {problem}')
+        self.endpoint = endpoint
+        self.problem = problem
+
+
 class PlatformError(ApricottallyError):
     """The platform's service did not answer, or refused the call."""
 
