Forward open flows on one unpack and check what leaves the node

Cause: the general path parsed, copied and looked up more than a data packet of an open flow needs; a packet with a number unknown to this node was lost; no invariant looked at what leaves; a SYN from a backend, a caller's packet without ACK and one longer than 9000 bytes were passed on; and an address that the platform gives to a VM of another service kept the old service's flows. Change: fastpath.py forwards the common form; strays.py hands an unknown packet over once, to a member by flow key and TSval, within a budget; outbound.py checks every other packet before it is sent; the later change of an address wins between services.

--- /dev/null
+++ b/apricottally/fastpath.py
@@ -0,0 +1,116 @@
+"""Data packets of open flows: one unpack, one lookup, one rewrite.
+
+Takes only the common form: a plain GUE header, no IP options, ACK without
+SYN, FIN or RST, and the timestamps option first and aligned. Everything else
+is left to `forwarding`, which decides alike for any form.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+from apricottally.effects import Effect, SendPacket
+from apricottally.events import PacketReceived
+from apricottally.packet import MAX_PACKET_LENGTH, NUMBER_MASK
+
+if TYPE_CHECKING:
+    from apricottally.state import NodeState
+
+# GUE header, IPv4 header, TCP header, first twelve bytes of TCP options.
+_LAYOUT = struct.Struct('!IBxHxxHxBxxIIHHxxxxxxxxBBxxHxxIII')
+_unpack = _LAYOUT.unpack_from
+_pack_half = struct.Struct('!H').pack_into
+
+_GUE_LENGTH = 4
+_GUE_WORD = 0x00040000
+_VERSION_AND_LENGTH = 0x45
+_FRAGMENT_BITS = 0x3FFF
+_PROTOCOL_TCP = 6
+_FLAGS = 0x17
+_ACK = 0x10
+_TIMESTAMPS_WORD = 0x0101080A
+# TCP header length in the upper four bits: at least 8 words.
+_LEAST_OFFSET = 0x80
+_CHECKSUM = 40
+_TS_VAL_LOW = 50
+_TS_ECR_LOW = 54
+_WORD = 0xFFFF
+_SIGN_BIT = 0x80000000
+
+
+# One function, since each call costs as much as a step of it.
+def forward(  # noqa: WPS210, WPS212, WPS231
+    state: NodeState,
+    event: PacketReceived,
+) -> list[Effect] | None:
+    """Forward a data packet of an open flow; None if it is anything else."""
+    datagram = event.payload
+    length = len(datagram)
+    if length < _LAYOUT.size:
+        return None
+    (  # noqa: WPS236
+        gue_word,
+        version,
+        total,
+        fragment,
+        protocol,
+        src_ip,
+        dst_ip,
+        src_port,
+        dst_port,
+        offset,
+        flags,
+        checksum,
+        option,
+        ts_val,
+        ts_ecr,
+    ) = _unpack(datagram)
+    if (
+        flags & _FLAGS != _ACK  # noqa: WPS222
+        or option != _TIMESTAMPS_WORD
+        or gue_word != _GUE_WORD
+        or version != _VERSION_AND_LENGTH
+        or protocol != _PROTOCOL_TCP
+        or fragment & _FRAGMENT_BITS
+        or total != length - _GUE_LENGTH
+        or not _LEAST_OFFSET <= offset <= (total - 20) << 2
+        or total > MAX_PACKET_LENGTH
+    ):
+        return None
+    routes = state.routes
+    route = routes.routes.get(dst_ip << 16 | dst_port)
+    if route is not None:
+        number = ts_ecr & NUMBER_MASK
+        endpoint = route.service.endpoints.get(number)
+        if endpoint is None or not ts_ecr:
+            return None
+        limit = state.clocks.limits.get(endpoint[0])
+        if limit is not None and (ts_ecr - limit) & _SIGN_BIT:
+            return None
+        if routes.service_of_ip.get(endpoint[0]) is not route.service:
+            state.invariants.check('foreign_backend', holds=False)
+            return []
+        state.counters.counts['forwarded', 'caller'] += 1
+        if not number:
+            return [SendPacket(endpoint, datagram)]
+        packet = bytearray(datagram)
+        # One's complement: the checksum grows by what the field loses.
+        _pack_half(packet, _CHECKSUM, (checksum + number) % _WORD)
+        _pack_half(packet, _TS_ECR_LOW, (ts_ecr ^ number) & _WORD)
+        return [SendPacket(endpoint, bytes(packet))]
+    route = routes.routes.get(src_ip << 16 | src_port)
+    if route is None:
+        return None
+    source = event.source[0]
+    reply_number = route.service.numbers_by_source.get(source)
+    if reply_number is None:
+        return None
+    if source in state.clocks.wanted:
+        state.clocks.learn(source, ts_val, event.now)
+    state.counters.counts['forwarded', 'backend'] += 1
+    lost = ts_val & NUMBER_MASK
+    packet = bytearray(datagram)
+    _pack_half(packet, _CHECKSUM, (checksum + lost - reply_number) % _WORD)
+    _pack_half(packet, _TS_VAL_LOW, (ts_val ^ lost | reply_number) & _WORD)
+    return [SendPacket(state.config.gateway, bytes(packet))]
--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -8,14 +8,27 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally import addresses, admission, gue, packet, shards
+from apricottally import (
+    addresses,
+    admission,
+    fastpath,
+    gue,
+    outbound,
+    packet,
+    shards,
+    silence,
+)
+from apricottally.addresses import Endpoint
 from apricottally.effects import Effect, SendPacket
 from apricottally.errors import WireError
 from apricottally.events import PacketReceived
+from apricottally.explanation import Decision
 from apricottally.gue import Direction, Handover
+from apricottally.outbound import Cause
 from apricottally.packet import Segment
 from apricottally.routes import Route
 from apricottally.shards import Shard
+from apricottally.strays import drop, receive_stray, wrap
 
 if TYPE_CHECKING:
     from apricottally.state import NodeState
@@ -23,19 +36,33 @@
 
 def receive_packet(state: NodeState, event: PacketReceived) -> list[Effect]:
     """Forward, hand over, answer or drop one datagram."""
+    effects = fastpath.forward(state, event)
+    if effects is not None:
+        return effects
     datagram = event.payload
     try:
         start, handover = gue.decode(datagram)
         segment = packet.parse(datagram, start)
     except WireError as error:
-        return _drop(state, error.reason)
+        return drop(state, error.reason)
+    effects = _receive_segment(state, event, segment, handover)
+    cause = Cause(datagram, segment, handover)
+    return outbound.keep_valid(state, effects, cause)
+
+
+def _receive_segment(
+    state: NodeState,
+    event: PacketReceived,
+    segment: Segment,
+    handover: Handover | None,
+) -> list[Effect]:
     route = state.routes.find(segment.dst_ip, segment.dst_port)
     if route is not None:
         return _receive_from_caller(state, event, route, segment, handover)
     route = state.routes.find(segment.src_ip, segment.src_port)
     if route is not None:
         return _receive_from_backend(state, event, route, segment, handover)
-    return _drop(state, 'unknown_address')
+    return receive_stray(state, event, segment, handover, 'unknown_address')
 
 
 def _receive_from_caller(
@@ -48,16 +75,18 @@
     flags = segment.flags
     if flags & packet.SYN:
         return _receive_syn(state, event, route, segment, handover)
+    if not flags & (packet.ACK | packet.RST):
+        return drop(state, 'foreign_flags')
     if not segment.ts_ecr:
-        return _drop(state, 'no_number')
+        return _drop_unnumbered(state, segment)
     number = segment.ts_ecr & packet.NUMBER_MASK
     endpoint = route.service.endpoints.get(number)
     if endpoint is None:
         return _receive_unroutable(state, event, route, segment, handover)
     if not flags & packet.FIRST_OR_LAST:
-        state.counters.counts['forwarded', 'caller'] += 1
-        inner = packet.clear_number(event.payload, segment)
-        return [SendPacket(endpoint, gue.PLAIN_HEADER + inner)]
+        if _is_suspect(state, endpoint, segment, handover):
+            return _track(state, event, route, segment, handover)
+        return _forward(state, event, endpoint, segment)
     shard = route.service.shard_of[number]
     if _is_for_owner(state, shard, handover):
         return _hand_over(state, event, shard, segment, Direction.caller)
@@ -72,6 +101,96 @@
     )
 
 
+def _forward(
+    state: NodeState,
+    event: PacketReceived,
+    endpoint: Endpoint,
+    segment: Segment,
+) -> list[Effect]:
+    state.counters.counts['forwarded', 'caller'] += 1
+    inner = packet.clear_number(event.payload, segment)
+    return [SendPacket(endpoint, gue.PLAIN_HEADER + inner)]
+
+
+def _is_suspect(
+    state: NodeState,
+    endpoint: Endpoint,
+    segment: Segment,
+    handover: Handover | None,
+) -> bool:
+    """Tell whether a data packet belongs to the tracker of its flow.
+
+    One that was handed over as a caller's was found stale by its sender.
+    """
+    if handover is None:
+        return state.clocks.is_stale(endpoint[0], segment.ts_ecr)
+    return handover.direction == Direction.caller
+
+
+def _track(
+    state: NodeState,
+    event: PacketReceived,
+    route: Route,
+    segment: Segment,
+    handover: Handover | None,
+) -> list[Effect]:
+    """Forward a stale packet by way of its tracker; end a silent flow."""
+    key = packet.caller_key(event.payload, segment.start)
+    tracker = state.owners.find_tracker(key)
+    if handover is None and tracker.name != state.members.own_name:
+        state.counters.add('handed_over', 'stale')
+        return [wrap(event, segment, tracker, Direction.caller)]
+    number = segment.ts_ecr & packet.NUMBER_MASK
+    endpoint = route.service.endpoints[number]
+    if silence.is_silent(state, event.now, key, endpoint[0], segment):
+        return _end_silent(state, event, route, key, segment)
+    return _forward(state, event, endpoint, segment)
+
+
+def _end_silent(
+    state: NodeState,
+    event: PacketReceived,
+    route: Route,
+    key: bytes,
+    segment: Segment,
+) -> list[Effect]:
+    """Reset both ends; the backend's by way of the owner of its shard."""
+    state.counters.add('broken', 'silent_flow')
+    state.decisions.add(
+        Decision(
+            now=event.now,
+            key=key,
+            action='reset',
+            rule='silent_flow',
+            workspace=route.workspace,
+            service=route.service.name,
+            number=segment.ts_ecr & packet.NUMBER_MASK,
+            version=route.service.version,
+        ),
+    )
+    answer = packet.reset_sender(segment)
+    effects: list[Effect] = [
+        SendPacket(state.config.gateway, gue.encode(answer)),
+    ]
+    for inner in silence.build_backend_resets(segment):
+        datagram = gue.encode(inner)
+        made = PacketReceived(event.now, event.source, datagram)
+        reset = packet.parse(datagram, gue.PLAIN_LENGTH)
+        effects += _receive_from_caller(state, made, route, reset, None)
+    return effects
+
+
+def _drop_unnumbered(state: NodeState, segment: Segment) -> list[Effect]:
+    """Drop a caller's packet that carries no number.
+
+    Kernels answer data for a closed socket by a reset without timestamps.
+    Nothing tells its backend; that one's own timeouts end the flow.
+    """
+    if segment.flags & packet.RST:
+        return drop(state, 'reset_without_number')
+    return drop(state, 'no_number')
+
+
 def _receive_syn(
     state: NodeState,
     event: PacketReceived,
@@ -80,7 +199,7 @@
     handover: Handover | None,
 ) -> list[Effect]:
     if segment.flags & (packet.ACK | packet.FIN | packet.RST):
-        return _drop(state, 'foreign_flags')
+        return drop(state, 'foreign_flags')
     if not segment.timestamps:
         return admission.refuse(state, segment, 'no_timestamps')
     key = packet.caller_key(event.payload, segment.start)
@@ -109,11 +228,9 @@
     """Handle a packet whose number names no present backend."""
     known = route.service.backends.get(segment.ts_ecr & packet.NUMBER_MASK)
     if known is None:
-        # This node may not have the newest numbers yet; the caller's TCP
-        # sends the packet again, and it reaches another node.
-        return _drop(state, 'unknown_number')
+        return receive_stray(state, event, segment, handover, 'unknown_number')
     if segment.flags & packet.RST:
-        return _drop(state, 'backend_gone')
+        return drop(state, 'backend_gone')
     state.counters.add('broken', 'outcome_unknown')
     answer = packet.reset_sender(segment)
     return [SendPacket(state.config.gateway, gue.encode(answer))]
@@ -127,17 +244,19 @@
     handover: Handover | None,
 ) -> list[Effect]:
     if handover is None:
-        backend_ip = addresses.parse_ip(event.source[0])
+        source = event.source[0]
     else:
-        backend_ip = handover.ip
+        source = addresses.format_ip(handover.ip)
     service = route.service
-    number = service.numbers_by_ip.get(backend_ip)
+    number = service.numbers_by_source.get(source)
     if number is None:
-        return _drop(state, 'foreign_reply')
+        return _receive_foreign(state, event, source, segment, handover)
     flags = segment.flags
+    if segment.timestamps and source in state.clocks.wanted:
+        state.clocks.learn(source, segment.ts_val, event.now)
     if not flags & packet.FIRST_OR_LAST:
         if not segment.timestamps:
-            return _drop(state, 'no_timestamps')
+            return drop(state, 'no_timestamps')
         state.counters.counts['forwarded', 'backend'] += 1
         inner = packet.write_number(event.payload, segment, number)
         return [SendPacket(state.config.gateway, gue.PLAIN_HEADER + inner)]
@@ -145,14 +264,7 @@
     if _is_for_owner(state, shard, handover):
         return _hand_over(state, event, shard, segment, Direction.backend)
     if flags & packet.SYN:
-        return admission.receive_syn_ack(
-            state,
-            event.now,
-            route,
-            number,
-            segment,
-            event.payload,
-        )
+        return _receive_syn_ack(state, event, route, number, segment)
     return admission.receive_close(
         state,
         event.now,
@@ -164,6 +276,42 @@
     )
 
 
+def _receive_syn_ack(
+    state: NodeState,
+    event: PacketReceived,
+    route: Route,
+    number: int,
+    segment: Segment,
+) -> list[Effect]:
+    if segment.flags & (packet.ACK | packet.FIN | packet.RST) != packet.ACK:
+        return drop(state, 'foreign_flags')
+    return admission.receive_syn_ack(
+        state,
+        event.now,
+        route,
+        number,
+        segment,
+        event.payload,
+    )
+
+
+def _receive_foreign(
+    state: NodeState,
+    event: PacketReceived,
+    source: str,
+    segment: Segment,
+    handover: Handover | None,
+) -> list[Effect]:
+    """Handle a reply from an address that is no backend of the service.
+
+    A SYN-ACK is not handed over: only the owner that chose the backend may
+    pass it on, and the backend sends it again.
+    """
+    if source in state.routes.service_of_ip or segment.flags & packet.SYN:
+        return drop(state, 'foreign_reply')
+    return receive_stray(state, event, segment, handover, 'foreign_reply')
+
+
 def _is_for_owner(
     state: NodeState,
     shard: Shard,
@@ -185,13 +333,5 @@
     direction: Direction,
 ) -> list[Effect]:
     owner = state.owners.find(shard.name, shard.zone)
-    ip, port = event.source
-    handover = Handover(direction, 1, port, addresses.parse_ip(ip))
-    inner = event.payload[segment.start :]
     state.counters.add('handed_over', direction.name)
-    return [SendPacket(owner.packet, gue.encode_handover(handover, inner))]
-
-
-def _drop(state: NodeState, reason: str) -> list[Effect]:
-    state.counters.add('dropped', reason)
-    return []
+    return [wrap(event, segment, owner, direction)]
--- a/apricottally/gue.py
+++ b/apricottally/gue.py
@@ -33,6 +33,11 @@
 
     caller = 1
     backend = 2
+    # The sender knows neither address of the packet.
+    unknown = 3
+
+
+_DIRECTIONS = frozenset(Direction)
 
 
 class Handover(msgspec.Struct, frozen=True, gc=False):
@@ -78,6 +83,6 @@
     if protocol != _PROTOCOL_IPV4 or flags or first != _HANDOVER_WORDS:
         raise WireError('foreign_gue')
     direction, hops, port, ip = _HANDOVER.unpack_from(datagram, _BASE.size)
-    if direction not in {Direction.caller, Direction.backend}:
+    if direction not in _DIRECTIONS:
         raise WireError('foreign_gue')
     return HANDOVER_LENGTH, Handover(direction, hops, port, ip)
--- /dev/null
+++ b/apricottally/outbound.py
@@ -0,0 +1,122 @@
+"""Invariants of packets that leave the node.
+
+Checks what other modules decided from the packets themselves, so that a fault
+in any of them shows. A packet that breaks an invariant is not sent.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from apricottally import gue, packet
+from apricottally.effects import Effect, SendPacket
+from apricottally.gue import Handover
+from apricottally.packet import Segment
+
+if TYPE_CHECKING:
+    from apricottally.state import NodeState
+
+_REFUSAL = packet.RST | packet.ACK
+
+
+@dataclass(frozen=True, slots=True)
+class Cause:
+    """The received packet that led to the effects."""
+
+    datagram: bytes
+    segment: Segment
+    handover: Handover | None
+
+
+def keep_valid(
+    state: NodeState,
+    effects: list[Effect],
+    cause: Cause | None = None,
+) -> list[Effect]:
+    """Return the effects without packets that break an invariant."""
+    return [
+        effect
+        for effect in effects
+        if not isinstance(effect, SendPacket) or _is_valid(state, effect, cause)
+    ]
+
+
+def _is_valid(
+    state: NodeState,
+    effect: SendPacket,
+    cause: Cause | None,
+) -> bool:
+    start, handover = gue.decode(effect.payload)
+    if handover is not None:
+        return state.invariants.check(
+            'second_handover',
+            holds=not _is_again(effect.payload, cause),
+        )
+    segment = packet.parse(effect.payload, start)
+    if effect.dest == state.config.gateway:
+        return _is_valid_reply(state, segment, cause)
+    return _is_valid_request(state, effect, segment, cause)
+
+
+def _is_again(datagram: bytes, cause: Cause | None) -> bool:
+    """Tell whether a packet that was handed over is handed over again."""
+    if cause is None or cause.handover is None:
+        return False
+    inner = cause.datagram[cause.segment.start :]
+    return datagram[gue.HANDOVER_LENGTH :] == inner
+
+
+def _is_valid_reply(
+    state: NodeState,
+    segment: Segment,
+    cause: Cause | None,
+) -> bool:
+    check = state.invariants.check
+    route = state.routes.find(segment.src_ip, segment.src_port)
+    if not check('reply_of_no_service', holds=route is not None):
+        return False
+    numbered = not segment.flags & packet.SYN or segment.timestamps > 0
+    if not check('syn_ack_without_number', holds=numbered):
+        return False
+    return check(
+        'refusal_without_syn',
+        holds=not _is_refusal_of_data(segment, cause),
+    )
+
+
+def _is_refusal_of_data(segment: Segment, cause: Cause | None) -> bool:
+    """Tell whether a refusal answers a caller's packet that is no SYN."""
+    if segment.flags != _REFUSAL or segment.seq or cause is None:
+        return False
+    asked = cause.segment
+    caller = asked.src_ip, asked.src_port
+    same_flow = caller == (segment.dst_ip, segment.dst_port)
+    return same_flow and not asked.flags & packet.SYN
+
+
+def _is_valid_request(
+    state: NodeState,
+    effect: SendPacket,
+    segment: Segment,
+    cause: Cause | None,
+) -> bool:
+    check = state.invariants.check
+    route = state.routes.find(segment.dst_ip, segment.dst_port)
+    own = (
+        route is not None
+        and state.routes.service_of_ip.get(effect.dest[0]) is route.service
+    )
+    if not check('foreign_backend', holds=own, detail=effect.dest):
+        return False
+    if route is None or segment.payload == segment.end:
+        return True
+    by_number = None
+    if cause is not None and not segment.flags & packet.SYN:
+        number = cause.segment.ts_ecr & packet.NUMBER_MASK
+        by_number = route.service.endpoints.get(number)
+    return check(
+        'payload_without_number',
+        holds=by_number == effect.dest,
+        detail=effect.dest,
+    )
--- a/apricottally/packet.py
+++ b/apricottally/packet.py
@@ -86,6 +86,8 @@
     end = len(datagram)
     if end - start < HEADERS_LENGTH:
         raise WireError('truncated_packet')
+    if end - start > MAX_PACKET_LENGTH:
+        raise WireError('oversized')
     (
         version,
         total,
--- a/apricottally/reducer.py
+++ b/apricottally/reducer.py
@@ -7,7 +7,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from apricottally import admission, dissemination, forwarding, membership
+from apricottally import (
+    admission,
+    dissemination,
+    forwarding,
+    membership,
+    outbound,
+    silence,
+)
 from apricottally.effects import Effect, Exit, WriteLog
 from apricottally.events import (
     Event,
@@ -29,10 +36,11 @@
 
 
 def _tick(state: NodeState, event: Ticked) -> list[Effect]:
+    silence.tick(state, event.now)
     return [
         *membership.tick(state, event),
         *dissemination.tick(state, event),
-        *admission.tick(state, event.now),
+        *outbound.keep_valid(state, admission.tick(state, event.now)),
     ]
 
 
--- a/apricottally/routes.py
+++ b/apricottally/routes.py
@@ -10,20 +10,23 @@
 from apricottally.records import RecordStore
 from apricottally.shards import Shard, count_shards, shard_index
 
+_NONE: frozenset[str] = frozenset()
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
     """A service's backends by number, and its shards.
 
     `endpoints` maps a number to the backend's packet endpoint, for every
-    backend that may still have open flows. `version` is the record's.
+    backend that may still have open flows. `numbers_by_source` is its
+    inverse, by address text. `version` is the record's.
     """
 
     name: str
     version: int
     backends: dict[int, Backend]
     endpoints: dict[int, Endpoint]
-    numbers_by_ip: dict[int, int]
+    numbers_by_source: dict[str, int]
     shards: tuple[Shard, ...]
     shard_of: dict[int, Shard]
 
@@ -42,10 +45,12 @@
 class RouteTable:
     """Routes by endpoint: `(ip << 16) | port`, both as numbers."""
 
-    __slots__ = ('_services', 'routes')
+    __slots__ = ('_services', 'routes', 'service_of_ip')
 
     def __init__(self) -> None:
         self.routes: dict[int, Route] = {}
+        # The one service that each backend address belongs to.
+        self.service_of_ip: dict[str, Service] = {}
         self._services: dict[str, Service] = {}
 
     @property
@@ -64,6 +69,11 @@
         templates. Of two workspaces with one endpoint the older key wins.
         """
         self._services = _build_services(store)
+        self.service_of_ip = {
+            ip: service
+            for service in self._services.values()
+            for ip in service.numbers_by_source
+        }
         templates = {
             record.key.removeprefix(model.TEMPLATE_PREFIX): body
             for record in store.list_prefix(model.TEMPLATE_PREFIX)
@@ -101,12 +111,16 @@
     name: str,
     version: int,
     backends: tuple[Backend, ...],
+    moved: frozenset[str] = _NONE,
 ) -> Service:
-    """Return the service with its shards, from its backends."""
+    """Return the service with its shards, from its backends.
+
+    `moved` are addresses that another service has by now.
+    """
     present = [
         backend
         for backend in backends
-        if backend.state is not BackendState.retired
+        if backend.state is not BackendState.retired and backend.ip not in moved
     ]
     built, shard_of = _build_shards(name, present)
     return Service(
@@ -117,25 +131,55 @@
             backend.number: (backend.ip, addresses.PACKET_PORT)
             for backend in present
         },
-        numbers_by_ip={
-            addresses.parse_ip(backend.ip): backend.number
-            for backend in present
-        },
+        numbers_by_source={backend.ip: backend.number for backend in present},
         shards=built,
         shard_of=shard_of,
     )
 
 
 def _build_services(store: RecordStore) -> dict[str, Service]:
-    services = {}
+    versions: dict[str, int] = {}
+    bodies: dict[str, model.BackendSet] = {}
     for record in store.list_prefix(model.BACKEND_PREFIX):
         body = _decode(record.key, record.value)
         if isinstance(body, model.BackendSet):
             name = record.key.removeprefix(model.BACKEND_PREFIX)
-            services[name] = build_service(name, record.version, body.backends)
+            versions[name] = record.version
+            bodies[name] = body
+    claims = _claim_addresses(bodies)
+    services = {}
+    for name, body in bodies.items():
+        moved = frozenset(
+            backend.ip
+            for backend in body.backends
+            if claims.get(backend.ip, name) != name
+        )
+        services[name] = build_service(
+            name,
+            versions[name],
+            body.backends,
+            moved,
+        )
     return services
 
 
+def _claim_addresses(bodies: dict[str, model.BackendSet]) -> dict[str, str]:
+    """Return the service of each backend address.
+
+    The platform may give the address of a VM that is gone to a VM of another
+    service before the first record says so; the later change wins, so that no
+    packet for the former service reaches the new one.
+    """
+    claims: dict[str, tuple[int, str]] = {}
+    for name, body in bodies.items():
+        for backend in body.backends:
+            if backend.state is BackendState.retired:
+                continue
+            claim = (backend.changed_s, name)
+            claims[backend.ip] = max(claim, claims.get(backend.ip, claim))
+    return {ip: name for ip, (_, name) in claims.items()}
+
+
 def _build_shards(
     name: str,
     present: list[Backend],
--- a/apricottally/shards.py
+++ b/apricottally/shards.py
@@ -9,6 +9,9 @@
 # One owner admits for a whole shard; its size bounds the work of one node
 # and the number of shards a large service spreads over.
 SHARD_BACKENDS = 64
+# Flows share trackers by bucket, since a rendezvous hash over all members of a
+# region for each packet would cost hundreds of microseconds.
+TRACKER_BUCKETS = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,18 +73,17 @@
 class Owners:
     """Owners of shards and trackers of flows, cached while members stand."""
 
-    __slots__ = ('_members', '_owners', '_version')
+    __slots__ = ('_members', '_owners', '_trackers', '_version')
 
     def __init__(self, members: MemberTable) -> None:
         self._members = members
         self._owners: dict[str, Member] = {}
+        self._trackers: dict[int, Member] = {}
         self._version = 0
 
     def find(self, shard_name: str, zone: str) -> Member:
         """Return the owner of a shard; this node if no member is eligible."""
-        if self._version != self._members.version:
-            self._owners.clear()
-            self._version = self._members.version
+        self._forget_old()
         owner = self._owners.get(shard_name)
         if owner is None:
             owner = self._choose(shard_name, zone)
@@ -94,9 +96,22 @@
 
     def find_tracker(self, key: bytes) -> Member:
         """Return the node that tracks a flow that may be silent."""
-        own = self._members.own
-        candidates = self._members.eligible(own.zone)
-        return choose_member(candidates, key) or own
+        self._forget_old()
+        bucket = xxhash.xxh3_64_intdigest(key) % TRACKER_BUCKETS
+        tracker = self._trackers.get(bucket)
+        if tracker is None:
+            own = self._members.own
+            candidates = self._members.eligible(own.zone)
+            subject = bucket.to_bytes(2, 'big')
+            tracker = choose_member(candidates, subject) or own
+            self._trackers[bucket] = tracker
+        return tracker
+
+    def _forget_old(self) -> None:
+        if self._version != self._members.version:
+            self._owners.clear()
+            self._trackers.clear()
+            self._version = self._members.version
 
     def _choose(self, shard_name: str, zone: str) -> Member:
         subject = shard_name.encode()
--- a/apricottally/state.py
+++ b/apricottally/state.py
@@ -12,6 +12,8 @@
 from apricottally.records import RecordStore
 from apricottally.routes import RouteTable
 from apricottally.shards import Owners
+from apricottally.silence import Clocks, Suspects
+from apricottally.strays import Budget
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +44,7 @@
         )
 
 
-class NodeState:
+class NodeState:  # noqa: WPS230
     """Everything a node knows; owned by the reducer."""
 
     def __init__(self, config: NodeConfig, rng: random.Random) -> None:
@@ -56,4 +58,7 @@
         self.owners = Owners(self.members)
         self.admissions = Admissions()
         self.decisions = Decisions()
+        self.clocks = Clocks()
+        self.suspects = Suspects()
+        self.strays = Budget()
         self.stopping = False
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,195 @@
+"""Nodes, records and packets for measurements and tests, in one process."""
+
+import random
+
+from apricottally import gue, model, packet
+from apricottally.addresses import PACKET_PORT, PEER_PORT, Endpoint
+from apricottally.effects import Effect, SendPacket
+from apricottally.events import PacketReceived, Record, RecordsReceived
+from apricottally.members import Member
+from apricottally.model import Backend, BackendState
+from apricottally.reducer import reduce
+from apricottally.state import NodeConfig, NodeState
+
+GATEWAY: Endpoint = ('127.9.0.1', PACKET_PORT)
+FABRIC: Endpoint = ('127.9.0.2', PACKET_PORT)
+ZONE = 'sv-a'
+SERVICE = 'etikett-core'
+OTHER_SERVICE = 'proof-store'
+# Service endpoints of the one workspace: 10.9.0.1.
+ADDRESS = 0x0A090001
+PORT = 443
+OTHER_PORT = 444
+CALLER = (0x0A010001, 40_000)
+# A backend's TSval with the low ten bits clear.
+CLOCK = 1048576
+
+
+def build_backend(
+    number: int,
+    state: BackendState = BackendState.active,
+    zone: str = ZONE,
+    subnet: int = 1,
+) -> Backend:
+    """Return a backend at 127.SUBNET.0.NUMBER+1."""
+    return Backend(
+        number=number,
+        name=f'vm-{subnet}-{number}',
+        ip=f'127.{subnet}.{number >> 8}.{(number & 255) + 1}',
+        zone=zone,
+        slots=2,
+        connections=2000,
+        state=state,
+    )
+
+
+def record_backends(
+    service: str,
+    version: int,
+    backends: tuple[Backend, ...],
+) -> Record:
+    """Return the record of a service's backends."""
+    body = model.BackendSet(backends)
+    value = model.encode_document(f'op-{version}', 'bench', body)
+    return Record(model.BACKEND_PREFIX + service, version, value)
+
+
+def list_records(
+    backends: int = 7,
+    others: int = 3,
+    holds: model.Holding = model.Holding.connection,
+) -> tuple[Record, ...]:
+    """Return the records of one workspace with two services."""
+    ports = ((SERVICE, PORT), (OTHER_SERVICE, OTHER_PORT))
+    templates = tuple(
+        Record(
+            model.TEMPLATE_PREFIX + service,
+            1,
+            model.encode_document(
+                'op-1',
+                'bench',
+                model.Template(service, model.Urgency.normal, port, holds),
+            ),
+        )
+        for service, port in ports
+    )
+    workspace = model.Workspace(
+        '10.9.0.1',
+        {SERVICE: 1.0, OTHER_SERVICE: 1.0},
+    )
+    return (
+        *templates,
+        Record(
+            f'{model.WORKSPACE_PREFIX}norrsken',
+            1,
+            model.encode_document('op-1', 'bench', workspace),
+        ),
+        record_backends(
+            SERVICE,
+            1,
+            tuple(build_backend(number) for number in range(backends)),
+        ),
+        record_backends(
+            OTHER_SERVICE,
+            1,
+            tuple(build_backend(number, subnet=2) for number in range(others)),
+        ),
+    )
+
+
+def build_member(index: int, zone: str = ZONE) -> Member:
+    """Return the node at 127.0.1.INDEX."""
+    ip = f'127.0.1.{index}'
+    return Member(f'node-{index}', zone, ip, PACKET_PORT, PEER_PORT)
+
+
+def build_node(
+    index: int,
+    members: tuple[Member, ...],
+    records: tuple[Record, ...],
+    seed: int = 1,
+) -> NodeState:
+    """Return a strict node that knows these members and records."""
+    own = build_member(index)
+    config = NodeConfig(
+        name=own.name,
+        zone=own.zone,
+        ip=own.ip,
+        packet_port=own.packet_port,
+        peer_port=own.peer_port,
+        gateway=GATEWAY,
+        strict=True,
+    )
+    state = NodeState(config, random.Random(seed))
+    for member in members:
+        state.members.put(member)
+    apply_records(state, records)
+    return state
+
+
+def apply_records(state: NodeState, records: tuple[Record, ...]) -> None:
+    """Apply records as if they came from a watch."""
+    reduce(state, RecordsReceived(0, records, 1, complete=False))
+
+
+def build_request(  # noqa: WPS211
+    flags: int = packet.ACK,
+    number: int = 0,
+    ts_val: int = 1,
+    ts_ecr: int = CLOCK,
+    payload: bytes = b'',
+    caller: tuple[int, int] = CALLER,
+    port: int = PORT,
+    seq: int = 1000,
+) -> bytes:
+    """Return a caller's packet; the number stands in TSecr."""
+    if flags & packet.SYN:
+        ts_ecr = 0
+        number = 0
+    options = packet.encode_timestamps(ts_val, ts_ecr | number)
+    ack = 0 if flags & packet.SYN else 5000
+    return packet.build(
+        *caller, ADDRESS, port, seq, ack, flags, options, payload
+    )
+
+
+def build_reply(
+    flags: int = packet.ACK,
+    ts_val: int = CLOCK,
+    payload: bytes = b'',
+    caller: tuple[int, int] = CALLER,
+    port: int = PORT,
+) -> bytes:
+    """Return a backend's packet."""
+    options = packet.encode_timestamps(ts_val, 1)
+    return packet.build(
+        ADDRESS, port, *caller, 5000, 1001, flags, options, payload
+    )
+
+
+def receive(
+    state: NodeState,
+    inner: bytes,
+    source: Endpoint = FABRIC,
+    now: float = 1,
+) -> list[Effect]:
+    """Have a node receive an inner packet in a plain GUE datagram."""
+    datagram = gue.encode(inner)
+    return reduce(state, PacketReceived(now, source, datagram))
+
+
+def list_packets(effects: list[Effect]) -> list[tuple[Endpoint, bytes]]:
+    """Return destination and datagram of each packet sent."""
+    return [
+        (effect.dest, effect.payload)
+        for effect in effects
+        if isinstance(effect, SendPacket)
+    ]
+
+
+def sent_packet(effects: list[Effect]) -> tuple[Endpoint, bytes]:
+    """Return the one packet sent; raises `ValueError` for another count."""
+    packets = list_packets(effects)
+    if len(packets) != 1:
+        raise ValueError(f'{len(packets)} packets')
+    return packets[0]
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,342 @@
+"""Packets reach the backend their number names, and nothing else."""
+
+import msgspec
+import pytest
+
+from apricottally import fastpath, forwarding, gue, outbound, packet
+from apricottally.effects import Effect, SendPacket
+from apricottally.errors import InvariantError
+from apricottally.events import PacketReceived
+from apricottally.gue import Direction, Handover
+from apricottally.model import BackendState
+from apricottally.packet import ACK, FIN, PSH, RST, SYN
+from apricottally.reducer import reduce
+from apricottally.state import NodeState
+from bench import fleet
+
+NODES = tuple(fleet.build_member(index) for index in (1, 2, 3))
+KNOWN = 3
+RETIRED = 5
+UNKNOWN = 900
+BACKEND = fleet.build_backend(KNOWN)
+SOURCE = (BACKEND.ip, 6080)
+FOREIGN = (fleet.build_backend(0, subnet=2).ip, 6080)
+NEW_SOURCE = ('127.1.0.200', 6080)
+
+
+def build_node(members=NODES, index: int = 1) -> NodeState:
+    node = fleet.build_node(index, members, fleet.list_records())
+    backends = [fleet.build_backend(number) for number in range(7)]
+    retired = fleet.build_backend(RETIRED, BackendState.retired)
+    backends[RETIRED] = retired
+    record = fleet.record_backends(fleet.SERVICE, 2, tuple(backends))
+    fleet.apply_records(node, (record,))
+    return node
+
+
+def hand(direction: Direction, inner: bytes, source=SOURCE) -> PacketReceived:
+    number = int.from_bytes(map(int, source[0].split('.')), 'big')
+    handover = Handover(direction, 1, source[1], number)
+    datagram = gue.encode_handover(handover, inner)
+    return PacketReceived(1, NODES[1].packet, datagram)
+
+
+def plain(inner: bytes, source=fleet.FABRIC) -> PacketReceived:
+    return PacketReceived(1, source, gue.encode(inner))
+
+
+def without_checksum(datagram: bytes) -> bytes:
+    return datagram[:40] + datagram[42:]
+
+
+def build_with_checksum(checksum: int, fields, options: bytes) -> bytes:
+    """Return a packet whose first payload word yields this checksum."""
+    inner = packet.build(*fields, options, b'\x00\x00odd')
+    found = int.from_bytes(inner[36:38], 'big')
+    word = ((found - checksum) % 0xFFFF).to_bytes(2, 'big')
+    inner = packet.build(*fields, options, word + b'odd')
+    assert (int.from_bytes(inner[36:38], 'big') - checksum) % 0xFFFF == 0
+    return inner
+
+
+@pytest.mark.parametrize('prefix', [b'', b'\x01\x01', b'\x01'])
+@pytest.mark.parametrize('number', [0, KNOWN])
+@pytest.mark.parametrize('from_backend', [False, True])
+@pytest.mark.parametrize('checksum', [0, 1, 0x8000, 0xFFFE])
+def test_fast_path_decides_as_the_general_one(
+    prefix: bytes,
+    number: int,
+    from_backend: bool,
+    checksum: int,
+) -> None:
+    """Guards against two paths that differ for the same flow.
+
+    A prefix of two NOPs keeps the option aligned; one makes it odd, which
+    only the general path takes. Checksums near both ends carry.
+    """
+    node = build_node()
+    option = packet.encode_timestamps(1 << 20 | 77, 1 << 21 | number)
+    ends = [fleet.CALLER, (fleet.ADDRESS, fleet.PORT)]
+    source = fleet.FABRIC
+    if from_backend:
+        ends.reverse()
+        source = (fleet.build_backend(number).ip, 6080)
+    inner = build_with_checksum(
+        checksum,
+        (*ends[0], *ends[1], 1, 2, ACK),
+        (prefix + option[2:]) if prefix else option,
+    )
+    event = plain(inner, source)
+    if prefix == b'\x01':
+        assert fastpath.forward(node, event) is None
+    sent = reduce(node, event)
+    segment = packet.parse(inner, 0)
+    if from_backend:
+        expected = packet.write_number(inner, segment, number)
+        dest = fleet.GATEWAY
+    else:
+        expected = packet.clear_number(inner, segment)
+        dest = (fleet.build_backend(number).ip, 6080)
+    to, datagram = fleet.sent_packet(sent)
+    assert to == dest
+    assert packet.is_valid(datagram[gue.PLAIN_LENGTH :])
+    assert without_checksum(datagram) == without_checksum(gue.encode(expected))
+    assert packet.is_valid(expected)
+
+
+@pytest.mark.parametrize(
+    ('event', 'reason'),
+    [
+        (PacketReceived(1, fleet.FABRIC, b''), 'truncated_gue'),
+        (
+            PacketReceived(1, fleet.FABRIC, b'\x00\x04\x00\x00'),
+            'truncated_packet',
+        ),
+        (PacketReceived(1, fleet.FABRIC, b'\x40' + bytes(60)), 'foreign_gue'),
+        (
+            PacketReceived(1, fleet.FABRIC, b'\x02\x04' + bytes(60)),
+            'foreign_gue',
+        ),
+        (plain(fleet.build_request()[:45]), 'wrong_length'),
+        (plain(fleet.build_request() + b'x'), 'wrong_length'),
+        (plain(fleet.build_request(payload=bytes(8990))), 'oversized'),
+        (plain(b'\x60' + fleet.build_request()[1:]), 'foreign_ip_header'),
+        (plain(fleet.build_request(ts_ecr=0)), 'no_number'),
+        (plain(fleet.build_request(RST, ts_ecr=0)), 'reset_without_number'),
+        (plain(fleet.build_request(RST, RETIRED)), 'backend_gone'),
+        (plain(fleet.build_request(0, KNOWN)), 'foreign_flags'),
+        (plain(fleet.build_request(SYN | ACK)), 'foreign_flags'),
+        (plain(fleet.build_request(SYN | FIN)), 'foreign_flags'),
+        (plain(fleet.build_reply(), FOREIGN), 'foreign_reply'),
+        (plain(fleet.build_reply(SYN | ACK), NEW_SOURCE), 'foreign_reply'),
+        (
+            hand(Direction.backend, fleet.build_reply(SYN)),
+            'foreign_flags',
+        ),
+        (
+            hand(Direction.unknown, fleet.build_reply(), NEW_SOURCE),
+            'foreign_reply',
+        ),
+        (
+            hand(Direction.unknown, fleet.build_request(number=UNKNOWN)),
+            'unknown_number',
+        ),
+        (
+            hand(Direction.unknown, fleet.build_request(port=1)),
+            'unknown_address',
+        ),
+    ],
+)
+def test_packet_is_dropped_and_counted(
+    event: PacketReceived,
+    reason: str,
+) -> None:
+    """Guards against any effect of a packet that is not understood."""
+    node = build_node()
+    before = dict(node.counters.counts)
+    assert reduce(node, event) == []
+    changed = dict(node.counters.counts.items() - before.items())
+    assert changed == {('dropped', reason): 1}
+
+
+@pytest.mark.parametrize(
+    ('inner', 'source', 'reason'),
+    [
+        (fleet.build_request(number=UNKNOWN), fleet.FABRIC, 'unknown_number'),
+        (
+            fleet.build_request(FIN | ACK, UNKNOWN),
+            fleet.FABRIC,
+            'unknown_number',
+        ),
+        (fleet.build_request(port=1), fleet.FABRIC, 'unknown_address'),
+        (fleet.build_reply(), NEW_SOURCE, 'foreign_reply'),
+    ],
+)
+def test_stray_is_handed_over_once(inner, source, reason: str) -> None:
+    """Guards against losing a flow that only newer records know."""
+    node = build_node()
+    dest, datagram = fleet.sent_packet(reduce(node, plain(inner, source)))
+    start, handover = gue.decode(datagram)
+    assert dest in {member.packet for member in NODES[1:]}
+    assert handover is not None
+    assert handover.direction == Direction.unknown
+    assert datagram[start:] == inner
+    other = build_node(index=2)
+    again = PacketReceived(1, NODES[0].packet, datagram)
+    assert reduce(other, again) == []
+    assert other.counters.total('dropped', reason) == 1
+
+
+def test_strays_have_a_budget() -> None:
+    """Guards against a flood of unknown packets doubled by hand-overs."""
+    node = build_node()
+    event = plain(fleet.build_request(number=UNKNOWN))
+    sent = sum(len(reduce(node, event)) for _ in range(5000))
+    assert sent == 2000
+    assert node.counters.total('dropped', 'unknown_number_budget') == 3000
+
+
+def test_retransmission_of_a_stray_tries_another_member() -> None:
+    """Guards against a stray that always reaches the same outdated node."""
+    node = build_node()
+    dests = {
+        dest
+        for ts_val in range(20)
+        for dest, _ in fleet.list_packets(
+            fleet.receive(
+                node,
+                fleet.build_request(number=UNKNOWN, ts_val=ts_val),
+            ),
+        )
+    }
+    assert dests == {member.packet for member in NODES[1:]}
+
+
+@pytest.mark.parametrize('flags', [ACK, FIN | ACK, PSH | ACK])
+def test_retired_number_is_answered_by_a_reset(flags: int) -> None:
+    """Guards against a caller left waiting, or told that nothing ran."""
+    node = build_node()
+    inner = fleet.build_request(flags, RETIRED)
+    dest, datagram = fleet.sent_packet(fleet.receive(node, inner))
+    answer = packet.parse(datagram, gue.PLAIN_LENGTH)
+    assert dest == fleet.GATEWAY
+    assert answer.flags == RST
+    assert answer.seq == packet.parse(inner, 0).ack
+    assert node.counters.total('broken', 'outcome_unknown') == 1
+    assert node.counters.total('refused') == 0
+
+
+@pytest.mark.parametrize(
+    ('inner', 'direction', 'source'),
+    [
+        (fleet.build_request(SYN), Direction.caller, fleet.FABRIC),
+        (fleet.build_request(FIN | ACK, KNOWN), Direction.caller, fleet.FABRIC),
+        (fleet.build_request(RST, KNOWN), Direction.caller, fleet.FABRIC),
+        (fleet.build_reply(SYN | ACK), Direction.backend, SOURCE),
+        (fleet.build_reply(RST), Direction.backend, SOURCE),
+    ],
+)
+def test_first_and_last_packets_reach_one_owner(
+    inner: bytes,
+    direction: Direction,
+    source,
+) -> None:
+    """Guards against two nodes that both admit, and against a loop."""
+    owners = set()
+    for member in NODES:
+        node = build_node(index=int(member.name[-1]))
+        for dest, datagram in fleet.list_packets(
+            reduce(node, plain(inner, source)),
+        ):
+            _, handover = gue.decode(datagram)
+            if handover is not None:
+                assert handover.direction == direction
+                owners.add(dest)
+    assert len(owners) == 1
+    for member in NODES:
+        node = build_node(index=int(member.name[-1]))
+        for _, datagram in fleet.list_packets(
+            reduce(node, hand(direction, inner, source)),
+        ):
+            assert gue.decode(datagram)[1] is None
+
+
+def test_address_given_to_another_service_gets_no_old_flows() -> None:
+    """Guards against etikett-core traffic at a reused proof-store address."""
+    node = build_node()
+    moved = msgspec.structs.replace(BACKEND, number=0, changed_s=9)
+    record = fleet.record_backends(fleet.OTHER_SERVICE, 3, (moved,))
+    fleet.apply_records(node, (record,))
+    sent = fleet.list_packets(
+        fleet.receive(node, fleet.build_request(number=KNOWN)),
+    )
+    assert [dest for dest, _ in sent] == [fleet.GATEWAY]
+    assert node.counters.total('broken', 'outcome_unknown') == 1
+
+
+def send(dest, inner: bytes) -> list[Effect]:
+    return [SendPacket(dest, gue.encode(inner))]
+
+
+DATA = fleet.build_request(number=KNOWN, payload=b'x')
+REFUSAL = packet.refuse_syn(packet.parse(DATA, 0))
+HANDED = gue.encode_handover(Handover(Direction.caller, 1, 1, 1), DATA)
+
+
+@pytest.mark.parametrize(
+    ('name', 'effects', 'arrived'),
+    [
+        ('foreign_backend', send(FOREIGN, DATA), DATA),
+        ('payload_without_number', send(('127.1.0.1', 6080), DATA), DATA),
+        (
+            'payload_without_number',
+            send(SOURCE, fleet.build_request(SYN, payload=b'x')),
+            fleet.build_request(SYN, payload=b'x'),
+        ),
+        ('refusal_without_syn', send(fleet.GATEWAY, REFUSAL), DATA),
+        ('reply_of_no_service', send(fleet.GATEWAY, DATA), DATA),
+        (
+            'syn_ack_without_number',
+            send(
+                fleet.GATEWAY,
+                packet.build(
+                    fleet.ADDRESS, fleet.PORT, *fleet.CALLER, 1, 2, SYN | ACK
+                ),
+            ),
+            DATA,
+        ),
+        ('second_handover', [SendPacket(NODES[1].packet, HANDED)], DATA),
+    ],
+)
+def test_outbound_invariant_stops_a_wrong_packet(
+    name: str,
+    effects: list[Effect],
+    arrived: bytes,
+) -> None:
+    """Guards against a fault elsewhere that would send this packet."""
+    node = build_node()
+    handover = Handover(Direction.caller, 1, 1, 1)
+    segment = packet.parse(arrived, 0)
+    cause = outbound.Cause(arrived, segment, handover)
+    with pytest.raises(InvariantError, match=name):
+        outbound.keep_valid(node, effects, cause)
+    node.invariants.strict = False
+    assert outbound.keep_valid(node, effects, cause) == []
+    assert node.counters.total('invariant_broken', name) == 2
+
+
+def test_fast_path_keeps_services_apart() -> None:
+    """Guards against a number table filled from another service."""
+    node = build_node()
+    route = node.routes.find(fleet.ADDRESS, fleet.PORT)
+    assert route is not None
+    route.service.endpoints[KNOWN] = FOREIGN
+    for path in (fastpath.forward, forwarding.receive_packet):
+        with pytest.raises(InvariantError, match='foreign_backend'):
+            path(node, plain(DATA))
+    odd = b'\x01' + packet.encode_timestamps(1, 1 << 20 | KNOWN)[2:]
+    general = packet.build(
+        *fleet.CALLER, fleet.ADDRESS, fleet.PORT, 1, 2, ACK, odd, b'x'
+    )
+    with pytest.raises(InvariantError, match='foreign_backend'):
+        reduce(node, plain(general))
