--- a/apricottally/silence.py
+++ b/apricottally/silence.py
@@ -128,8 +128,6 @@
 
     def see(self, key: bytes, ts_ecr: int, now: float) -> Suspect:
         """Return the flow's entry, a new one if its TSecr has moved on."""
-        if now - self._ticked > PAUSE_S:
-            self.flows.clear()
         suspect = self.flows.pop(key, None)
         if suspect is None or suspect.ts_ecr != ts_ecr:
             suspect = Suspect(ts_ecr, now, now)
@@ -140,7 +138,12 @@
         return suspect
 
     def tick(self, now: float) -> bool:
-        """Forget flows not seen lately; tell whether clocks are due."""
+        """Forget flows not seen lately; tell whether clocks are due.
+
+        After a pause of the node it forgets all: answers may have waited.
+        """
+        if now - self._ticked > PAUSE_S:
+            self.flows.clear()
         self._ticked = now
         if now - self._refreshed < REFRESH_S:
             return False
