--- a/apricottally/admission.py
+++ b/apricottally/admission.py
@@ -1,12 +1,21 @@
-"""First and last packets of flows at the owner of their backend shard."""
+"""First and last packets of flows at the owner of their backend shard.
+
+A flow is decided once, at its first SYN. It is refused only by the reset that
+answers the SYN, and never after a SYN-ACK was passed on.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from apricottally import gue, packet
+from apricottally import attempts, gue, ownership, packet
+from apricottally.attempts import LINGER_S
+from apricottally.balance import correct_drift, note_accepted, note_shed
+from apricottally.balance import take_report as note_report
 from apricottally.effects import Effect, SendPacket
+from apricottally.events import LoadReported
+from apricottally.flows import Flow, OwnedShard, Phase
+from apricottally.model import Holding
 from apricottally.packet import Segment
 from apricottally.routes import Route
 from apricottally.shards import Shard
@@ -15,23 +24,6 @@
     from apricottally.state import NodeState
 
 
-@dataclass(slots=True)
-class Pending:
-    """A SYN sent to a backend, until its flow ends or is written off."""
-
-    number: int
-    service: str
-    deadline: float
-
-
-@dataclass(slots=True)
-class Admissions:
-    """Flows known to this owner, by flow key, and open flows by backend."""
-
-    flows: dict[bytes, Pending] = field(default_factory=dict)
-    open: dict[tuple[str, int], int] = field(default_factory=dict)
-
-
 def receive_syn(
     state: NodeState,
     now: float,
@@ -40,18 +32,25 @@
     segment: Segment,
     datagram: bytes,
 ) -> list[Effect]:
-    """Admit or refuse a flow whose first packet reached its owner."""
+    """Admit, queue or refuse a flow whose first packet reached its owner."""
+    admissions = state.admissions
     key = packet.caller_key(datagram, segment.start)
-    known = state.admissions.flows.get(key)
-    if known is None:
-        known = _admit(state, now, route, shard, key)
-    if known is None:
-        return refuse(state, segment, 'no_backend')
-    endpoint = route.service.endpoints.get(known.number)
-    if endpoint is None:
+    known = admissions.flows.get(key)
+    if known is not None and not _is_replaced(known, segment):
+        return _repeat_syn(state, known, segment, datagram)
+    if not admissions.budget.spend(now, route.template.urgency):
+        attempts.note_refusal(state, now, route, key, 'node_overload')
+        return refuse(state, segment, 'node_overload')
+    owned = ownership.find(state, now, route.service, shard)
+    if not owned.active:
+        attempts.note_refusal(state, now, route, key, 'no_backend')
         return refuse(state, segment, 'no_backend')
-    inner = packet.strip_payload(datagram, segment)
-    return [SendPacket(endpoint, gue.encode(inner))]
+    admissions.closings.discard(key)
+    return _queue_flow(
+        state,
+        now,
+        _build_flow(now, route, owned, key, segment, datagram),
+    )
 
 
 def receive_syn_ack(
@@ -63,8 +62,21 @@
     datagram: bytes,
 ) -> list[Effect]:
     """Pass a backend's SYN-ACK on if it comes from the chosen backend."""
-    inner = packet.write_number(datagram, segment, number)
-    return [SendPacket(state.config.gateway, gue.encode(inner))]
+    flow = state.admissions.flows.get(packet.reply_key(datagram, segment.start))
+    if not segment.timestamps:
+        return _refuse_backend(state, now, route, number, segment, flow)
+    if flow is None or number not in {flow.number, *flow.tried}:
+        # Another owner chose this backend. The caller takes one SYN-ACK only.
+        state.counters.add('forwarded', 'foreign_syn_ack')
+        return _pass_to_caller(state, number, segment, datagram)
+    is_current = flow.number == number and flow.answers(segment)
+    if not is_current or flow.phase is Phase.over:
+        return _drop_syn_ack(state, now, flow, number, segment)
+    if flow.phase is Phase.sent:
+        _establish(state, now, flow)
+    elif flow.holds is Holding.connection:
+        state.admissions.timers.set(flow, now + LINGER_S)
+    return _pass_to_caller(state, number, segment, datagram)
 
 
 def receive_close(
@@ -79,32 +91,50 @@
 ) -> list[Effect]:
     """Pass a FIN or RST on and free what the flow held."""
     if from_backend:
-        key = packet.reply_key(datagram, segment.start)
-        _release(state, key)
-        inner = datagram[segment.start :]
-        if segment.timestamps:
-            inner = packet.write_number(datagram, segment, number)
-        return [SendPacket(state.config.gateway, gue.encode(inner))]
+        return _close_from_backend(state, now, route, number, segment, datagram)
+    effects: list[Effect] = []
     if segment.flags & packet.RST:
-        _release(state, packet.caller_key(datagram, segment.start))
+        key = packet.caller_key(datagram, segment.start)
+        effects = _end(state, now, route, number, key)
     endpoint = route.service.endpoints.get(number)
     if endpoint is None:
-        return []
+        return effects
     inner = datagram[segment.start :]
     if segment.timestamps:
         inner = packet.clear_number(datagram, segment)
-    return [SendPacket(endpoint, gue.encode(inner))]
+    return [SendPacket(endpoint, gue.encode(inner)), *effects]
 
 
-def tick(state: NodeState, now: float) -> list[Effect]:
-    """Write off flows past their deadline."""
-    flows = state.admissions.flows
-    expired = [key for key, known in flows.items() if known.deadline <= now]
-    for key in expired:
-        _release(state, key)
+def receive_load(state: NodeState, event: LoadReported) -> list[Effect]:
+    """Take a backend's report; it may end a wait for capacity."""
+    admissions = state.admissions
+    name = admissions.by_ip.get(event.backend_ip)
+    load = admissions.loads.get(name) if name else None
+    if load is None or event.report is None:
+        state.counters.add('load_polls', 'failed' if load else 'unknown')
+        return []
+    note_report(load, event.report, event.now)
+    for owned in admissions.shards.values():
+        if load in owned.active:
+            if owned.adopted:
+                correct_drift(load, owned.active, event.now)
+            return attempts.place_waiting(state, event.now, owned)
     return []
 
 
+def tick(state: NodeState, now: float, wall_s: float) -> list[Effect]:
+    """Wake flows whose time has come, and keep ownership up to date."""
+    ownership.refresh(state, now, wall_s)
+    ownership.settle(state, now)
+    state.admissions.closings.expire(now)
+    effects = ownership.poll(state, now)
+    for flow in state.admissions.timers.pop_due(now):
+        effects.extend(attempts.wake(state, now, flow))
+    for owned in list(state.admissions.shards.values()):
+        effects.extend(attempts.place_waiting(state, now, owned))
+    return effects
+
+
 def refuse(state: NodeState, segment: Segment, reason: str) -> list[Effect]:
     """Answer a SYN with a reset: the work has not run."""
     state.counters.add('refused', reason)
@@ -112,28 +142,217 @@
     return [SendPacket(state.config.gateway, gue.encode(answer))]
 
 
-def _admit(
+def _is_replaced(known: Flow, segment: Segment) -> bool:
+    """Tell whether a SYN starts a new flow after a former one's end."""
+    return known.phase is Phase.over and known.segment.seq != segment.seq
+
+
+def _build_flow(
+    now: float,
+    route: Route,
+    owned: OwnedShard,
+    key: bytes,
+    segment: Segment,
+    datagram: bytes,
+) -> Flow:
+    syn, fields = _strip_syn(segment, datagram)
+    deadline = now + route.template.max_wait_ms / 1000
+    return Flow(key, route, owned, syn, fields, deadline)
+
+
+def _strip_syn(segment: Segment, datagram: bytes) -> tuple[bytes, Segment]:
+    """Return the SYN without payload (TCP Fast Open), and its fields."""
+    if segment.payload == segment.end:
+        return datagram[segment.start :], segment
+    syn = packet.strip_payload(datagram, segment)
+    return syn, packet.parse(syn, 0)
+
+
+def _queue_flow(state: NodeState, now: float, flow: Flow) -> list[Effect]:
+    owned = flow.owned
+    reason = attempts.find_early_refusal(owned, flow, now)
+    if reason:
+        return attempts.refuse_flow(state, now, flow, reason)
+    queue = owned.queues[flow.holds]
+    pushed = queue.push(flow.entry())
+    if pushed.refused:
+        return attempts.refuse_flow(state, now, flow, pushed.refused)
+    state.admissions.flows[flow.key] = flow
+    effects: list[Effect] = []
+    for entry, displaced in pushed.displaced:
+        effects.extend(
+            attempts.refuse_flow(state, now, entry.item, displaced),
+        )
+    head = queue.peek()
+    # Those ahead could not be placed, so a flow behind them cannot either.
+    if head is not None and head.item is flow:
+        effects += attempts.place_waiting(state, now, owned)
+    if flow.phase is Phase.waiting:
+        attempts.decide(state, now, flow, 'wait', 'no_room')
+    return effects
+
+
+def _repeat_syn(
+    state: NodeState,
+    flow: Flow,
+    segment: Segment,
+    datagram: bytes,
+) -> list[Effect]:
+    """Handle a retransmitted SYN: what was decided stands."""
+    if flow.refusal:
+        state.counters.add('refused_again', flow.refusal)
+        answer = packet.refuse_syn(segment)
+        return [SendPacket(state.config.gateway, gue.encode(answer))]
+    if flow.segment.seq != segment.seq:
+        # The caller gave its former attempt up and uses the port again.
+        syn, fields = _strip_syn(segment, datagram)
+        flow.syn = syn
+        flow.segment = fields
+    endpoint = flow.owned.service.endpoints.get(flow.number)
+    if endpoint is None or flow.phase not in {Phase.sent, Phase.established}:
+        state.counters.add('dropped', 'repeated_syn')
+        return []
+    state.counters.add('forwarded', 'repeated_syn')
+    return [SendPacket(endpoint, gue.encode(flow.syn))]
+
+
+def _establish(state: NodeState, now: float, flow: Flow) -> None:
+    flow.phase = Phase.established
+    flow.passed = True
+    if flow.holds is Holding.connection:
+        state.admissions.timers.set(flow, now + LINGER_S)
+        return
+    run_s = flow.route.template.max_run_ms / 1000
+    state.admissions.timers.set(flow, flow.sent_at + run_s)
+    if flow.load is not None:
+        note_accepted(flow.load, now)
+
+
+def _drop_syn_ack(
+    state: NodeState,
+    now: float,
+    flow: Flow,
+    number: int,
+    segment: Segment,
+) -> list[Effect]:
+    """Reset a backend whose SYN-ACK comes too late to be used."""
+    state.counters.add('dropped', 'late_syn_ack')
+    if flow.passed and flow.number == number:
+        # A duplicate; the flow may still carry its last answer.
+        return []
+    attempts.decide(state, now, flow, 'reset', 'late_syn_ack', number)
+    return _reset_backend(flow.route, number, segment)
+
+
+def _refuse_backend(
     state: NodeState,
     now: float,
     route: Route,
-    shard: Shard,
+    number: int,
+    segment: Segment,
+    flow: Flow | None,
+) -> list[Effect]:
+    """Reset a backend that does not use timestamps: no cookie can travel."""
+    effects = _reset_backend(route, number, segment)
+    state.counters.add('dropped', 'backend_no_timestamps')
+    if flow is None or flow.phase is not Phase.sent or flow.number != number:
+        return effects
+    attempts.give_up(flow)
+    reason = 'backend_no_timestamps'
+    effects += attempts.refuse_flow(state, now, flow, reason)
+    return effects + attempts.place_waiting(state, now, flow.owned)
+
+
+def _close_from_backend(
+    state: NodeState,
+    now: float,
+    route: Route,
+    number: int,
+    segment: Segment,
+    datagram: bytes,
+) -> list[Effect]:
+    key = packet.reply_key(datagram, segment.start)
+    flow = state.admissions.flows.get(key)
+    if flow is not None and number in flow.tried:
+        state.counters.add('dropped', 'late_close')
+        return []
+    if flow is not None and number == flow.number and not flow.passed:
+        return _receive_shed(state, now, flow, segment)
+    effects = _end(state, now, route, number, key)
+    return _pass_to_caller(state, number, segment, datagram) + effects
+
+
+def _receive_shed(
+    state: NodeState,
+    now: float,
+    flow: Flow,
+    segment: Segment,
+) -> list[Effect]:
+    """Take a backend's reset of the SYN: nothing ran there."""
+    if not (segment.flags & packet.RST and flow.answers(segment)):
+        state.counters.add('dropped', 'late_close')
+        return []
+    if flow.load is not None:
+        note_shed(flow.load, now)
+    effects = attempts.retry(state, now, flow, 'shed')
+    if effects is None:
+        attempts.give_up(flow)
+        effects = attempts.refuse_flow(state, now, flow, 'backend_refused')
+    return effects + attempts.place_waiting(state, now, flow.owned)
+
+
+def _end(
+    state: NodeState,
+    now: float,
+    route: Route,
+    number: int,
     key: bytes,
-) -> Pending | None:
-    counts = state.admissions.open
-    service = route.service.name
-    if not shard.numbers:
-        return None
-    number = min(
-        shard.numbers,
-        key=lambda candidate: counts.get((service, candidate), 0),
-    )
-    counts[service, number] = counts.get((service, number), 0) + 1
-    known = Pending(number, service, now + route.template.max_run_ms / 1000)
-    state.admissions.flows[key] = known
-    return known
+) -> list[Effect]:
+    """Free what a flow held, once, and use it for those waiting."""
+    admissions = state.admissions
+    is_first = admissions.closings.add(key, now)
+    flow = admissions.flows.get(key)
+    if flow is not None and flow.number == number:
+        if flow.phase is not Phase.established or flow.load is None:
+            return []
+        flow.load.free(flow.holds)
+        if flow.holds is Holding.slot:
+            run_s = now - flow.sent_at
+            flow.owned.note_run(flow.route.template.urgency, run_s)
+        attempts.finish(state, now, flow)
+        return attempts.place_waiting(state, now, flow.owned)
+    load = admissions.loads.get((route.service.name, number))
+    if load is None or not is_first:
+        return []
+    if route.template.holds is Holding.connection:
+        load.free(Holding.connection)
+    else:
+        # A former owner's flow; its slot may still be in the last report.
+        load.ended += 1
+    return []
 
 
-def _release(state: NodeState, key: bytes) -> None:
-    known = state.admissions.flows.pop(key, None)
-    if known is not None:
-        state.admissions.open[known.service, known.number] -= 1
+def _pass_to_caller(
+    state: NodeState,
+    number: int,
+    segment: Segment,
+    datagram: bytes,
+) -> list[Effect]:
+    """Send a backend's packet on, with the backend's number in it."""
+    inner = datagram[segment.start :]
+    if segment.timestamps:
+        inner = packet.write_number(datagram, segment, number)
+    return [SendPacket(state.config.gateway, gue.encode(inner))]
+
+
+def _reset_backend(
+    route: Route,
+    number: int,
+    segment: Segment,
+) -> list[Effect]:
+    """Answer a SYN-ACK that must not reach the caller with a reset."""
+    endpoint = route.service.endpoints.get(number)
+    if endpoint is None:
+        return []
+    answer = packet.reset_sender(segment)
+    return [SendPacket(endpoint, gue.encode(answer))]
--- /dev/null
+++ b/apricottally/attempts.py
@@ -0,0 +1,318 @@
+"""Tries of a flow: sent to a backend, tried again, refused, ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from apricottally import balance, gue, packet, retries
+from apricottally.addresses import PACKET_PORT
+from apricottally.balance import BackendLoad
+from apricottally.effects import Effect, SendPacket
+from apricottally.explanation import Decision
+from apricottally.fairqueue import CLASSES, FairQueue
+from apricottally.flows import Flow, OwnedShard, Phase
+from apricottally.model import Holding
+from apricottally.routes import Route
+
+if TYPE_CHECKING:
+    from apricottally.state import NodeState
+
+# Time for which a flow without a slot is kept after its SYN-ACK, and an ended
+# one after its end. SYNs and SYN-ACKs retransmitted within it are recognized.
+LINGER_S = 5.0
+# Time after which a backend that has not answered a SYN is given up, even if
+# no retry is possible.
+ANSWER_LIMIT_S = 1.0
+NO_NUMBER = -1
+
+
+def decide(
+    state: NodeState,
+    now: float,
+    flow: Flow,
+    action: str,
+    rule: str,
+    number: int = NO_NUMBER,
+) -> None:
+    """Keep a decision about a flow for `why`."""
+    _note(state, now, flow.route, flow.key, action, rule, number)
+
+
+def note_refusal(
+    state: NodeState,
+    now: float,
+    route: Route,
+    key: bytes,
+    reason: str,
+) -> None:
+    """Keep the refusal of a SYN that has no state."""
+    _note(state, now, route, key, 'refuse', reason, NO_NUMBER)
+
+
+def find_early_refusal(owned: OwnedShard, flow: Flow, now: float) -> str:
+    """Return why a new flow cannot start in time, empty if it may.
+
+    The expected wait is the work queued ahead over the slots of the shard.
+    """
+    queue = owned.queues[flow.holds]
+    slots = sum(load.backend.slots for load in owned.active)
+    if not queue or not slots:
+        return ''
+    route = flow.route
+    ahead = queue.count_ahead(route.template.urgency, route.workspace)
+    waits = [
+        count * owned.run_s.get(urgency, 0) / slots
+        for urgency, count in zip(CLASSES, ahead, strict=False)
+    ]
+    left = flow.deadline - now
+    if sum(waits) <= left:
+        return ''
+    return 'shed_class' if sum(waits[:-1]) > left else 'deadline'
+
+
+def place_waiting(
+    state: NodeState,
+    now: float,
+    owned: OwnedShard,
+) -> list[Effect]:
+    """Send waiting flows for which there is room, in order."""
+    effects: list[Effect] = []
+    if owned.retrying:
+        effects += _place_retrying(state, now, owned)
+    for queue in owned.queues.values():
+        for expired in queue.expire(now):
+            reason = 'deadline' if owned.active else 'no_backend'
+            effects.extend(refuse_flow(state, now, expired.item, reason))
+        effects.extend(_place_queued(state, now, owned, queue))
+    return effects
+
+
+def retry(
+    state: NodeState,
+    now: float,
+    flow: Flow,
+    reason: str,
+) -> list[Effect] | None:
+    """Give the flow's backend up for another; None if that is not allowed."""
+    tries = len(flow.tried) + 1
+    start = now + retries.draw_backoff(tries, state.rng)
+    obstacle = retries.find_obstacle(tries, start, flow.deadline)
+    if not obstacle and not _has_other(flow):
+        obstacle = 'no_backend'
+    if not obstacle and not state.admissions.retries.spend(
+        flow.route.workspace,
+    ):
+        obstacle = 'budget'
+    if obstacle:
+        state.counters.add('retry_refused', obstacle)
+        return None
+    effects = _cancel(flow) if reason == 'no_answer' else []
+    give_up(flow)
+    flow.retry_reason = reason
+    flow.phase = Phase.retrying
+    if start <= now:
+        start = flow.deadline
+        flow.owned.retrying.append(flow)
+    state.admissions.timers.set(flow, start)
+    return effects
+
+
+def wake(state: NodeState, now: float, flow: Flow) -> list[Effect]:
+    """Do what the flow's timer was set for."""
+    if flow.phase is Phase.sent:
+        return _miss_answer(state, now, flow)
+    if flow.phase is Phase.retrying:
+        return _wake_retry(state, now, flow)
+    if flow.phase is Phase.established and flow.holds is Holding.slot:
+        # The flow ran too long; its packets go on by their cookie.
+        state.counters.add('written_off', 'max_run')
+        decide(state, now, flow, 'write_off', 'max_run', flow.number)
+        if flow.load is not None:
+            flow.load.free(flow.holds)
+    _forget(state, flow)
+    return []
+
+
+def give_up(flow: Flow) -> None:
+    """Free what the flow holds at a backend that has not answered it."""
+    if flow.load is not None:
+        flow.load.free(flow.holds)
+        flow.tried += (flow.number,)
+    flow.load = None
+
+
+def refuse_flow(
+    state: NodeState,
+    now: float,
+    flow: Flow,
+    reason: str,
+) -> list[Effect]:
+    """Answer the flow's SYN with a reset: nothing has run."""
+    state.invariants.check(
+        'refusal_after_syn_ack',
+        holds=not flow.passed,
+        detail=flow,
+    )
+    state.counters.add('refused', reason)
+    decide(state, now, flow, 'refuse', reason)
+    flow.refusal = reason
+    if flow.tried:
+        finish(state, now, flow)
+    else:
+        _forget(state, flow)
+    answer = packet.refuse_syn(flow.segment)
+    return [SendPacket(state.config.gateway, gue.encode(answer))]
+
+
+def finish(state: NodeState, now: float, flow: Flow) -> None:
+    """Keep an ended flow for late packets only."""
+    flow.phase = Phase.over
+    state.admissions.timers.set(flow, now + LINGER_S)
+
+
+def _forget(state: NodeState, flow: Flow) -> None:
+    flow.phase = Phase.over
+    # A new flow may have the key by now.
+    if state.admissions.flows.get(flow.key) is flow:
+        state.admissions.flows.pop(flow.key)
+
+
+def _choose(
+    owned: OwnedShard,
+    flow: Flow,
+    now: float,
+) -> BackendLoad | None:
+    return balance.choose(
+        owned.active,
+        flow.holds,
+        flow.key,
+        now,
+        takeover=owned.is_takeover(now),
+        excluded=flow.tried,
+    )
+
+
+def _place_queued(
+    state: NodeState,
+    now: float,
+    owned: OwnedShard,
+    queue: FairQueue[Flow],
+) -> list[Effect]:
+    effects: list[Effect] = []
+    entry = queue.peek()
+    while entry is not None:
+        load = _choose(owned, entry.item, now)
+        if load is None:
+            break
+        queue.pop()
+        effects.append(send(state, now, entry.item, load))
+        entry = queue.peek()
+    return effects
+
+
+def _place_retrying(
+    state: NodeState,
+    now: float,
+    owned: OwnedShard,
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for flow in owned.retrying.copy():
+        load = _choose(owned, flow, now)
+        if load is not None and now < flow.deadline:
+            owned.retrying.remove(flow)
+            effects.append(send(state, now, flow, load))
+    return effects
+
+
+def send(
+    state: NodeState,
+    now: float,
+    flow: Flow,
+    load: BackendLoad,
+) -> Effect:
+    """Send the flow's SYN to a backend, whose slot or connection it takes."""
+    load.take(flow.holds)
+    state.invariants.check(
+        'slot_over_admitted',
+        holds=load.busy <= load.backend.slots,
+        detail=load,
+    )
+    balance.spend_credit(flow.owned.active, load, now)
+    flow.load = load
+    flow.phase = Phase.sent
+    flow.sent_at = now
+    state.admissions.timers.set(flow, now + retries.ANSWER_TIMEOUT_S)
+    if flow.retry_reason:
+        state.counters.add('retried', flow.retry_reason)
+        decide(state, now, flow, 'retry', flow.retry_reason, flow.number)
+    else:
+        state.counters.add('admitted', flow.holds.value)
+        state.admissions.retries.earn(flow.route.workspace)
+        decide(state, now, flow, 'admit', 'least_outstanding', flow.number)
+    endpoint = load.backend.ip, PACKET_PORT
+    return SendPacket(endpoint, gue.encode(flow.syn))
+
+
+def _miss_answer(state: NodeState, now: float, flow: Flow) -> list[Effect]:
+    """Try another backend, or wait on for the one that has not answered."""
+    if now < flow.sent_at + ANSWER_LIMIT_S and now < flow.deadline:
+        effects = retry(state, now, flow, 'no_answer')
+        if effects is not None:
+            return effects
+    last = max(flow.deadline, flow.sent_at + ANSWER_LIMIT_S)
+    if now < last:
+        state.admissions.timers.set(flow, last)
+        return []
+    effects = _cancel(flow)
+    give_up(flow)
+    return effects + refuse_flow(state, now, flow, 'deadline')
+
+
+def _wake_retry(state: NodeState, now: float, flow: Flow) -> list[Effect]:
+    if now < flow.deadline:
+        flow.owned.retrying.append(flow)
+        state.admissions.timers.set(flow, flow.deadline)
+        return []
+    if flow in flow.owned.retrying:
+        flow.owned.retrying.remove(flow)
+    is_shed = flow.retry_reason == 'shed'
+    reason = 'backend_refused' if is_shed else 'deadline'
+    return refuse_flow(state, now, flow, reason)
+
+
+def _has_other(flow: Flow) -> bool:
+    """Tell whether the shard has a backend that was not tried yet."""
+    tried = {*flow.tried, flow.number}
+    return any(load.backend.number not in tried for load in flow.owned.active)
+
+
+def _cancel(flow: Flow) -> list[Effect]:
+    """Reset the backend that is given up, so that it drops the flow."""
+    if flow.load is None:
+        return []
+    endpoint = flow.load.backend.ip, PACKET_PORT
+    answer = packet.reset_receiver(flow.segment)
+    return [SendPacket(endpoint, gue.encode(answer))]
+
+
+def _note(
+    state: NodeState,
+    now: float,
+    route: Route,
+    key: bytes,
+    action: str,
+    rule: str,
+    number: int,
+) -> None:
+    state.decisions.add(
+        Decision(
+            now,
+            key,
+            action,
+            rule,
+            route.workspace,
+            route.service.name,
+            number,
+            route.service.version,
+        ),
+    )
--- /dev/null
+++ b/apricottally/flows.py
@@ -0,0 +1,205 @@
+"""Flows that an owner admits, and the tables that hold them."""
+
+from __future__ import annotations
+
+import enum
+import heapq
+from dataclasses import dataclass, field
+
+from apricottally import packet
+from apricottally.balance import TAKEOVER_S, BackendLoad
+from apricottally.fairqueue import Entry, FairQueue
+from apricottally.model import Holding, Urgency
+from apricottally.overload import SynBudget
+from apricottally.packet import Segment
+from apricottally.retries import RetryBudgets
+from apricottally.routes import Route, Service
+from apricottally.shards import Shard
+
+# Time for which the end of a flow is remembered, so that a retransmitted FIN
+# is counted once. It exceeds the first gaps between retransmissions.
+CLOSING_S = 15.0
+# Weight of the last run in the mean run time of a class.
+_RUN_WEIGHT = 0.1
+
+
+class Phase(enum.Enum):
+    """Life of a flow at its owner.
+
+    `retrying` flows wait for another backend after one was given up. `over`
+    covers closed and refused flows, kept for a time for late packets.
+    """
+
+    waiting = 'waiting'
+    retrying = 'retrying'
+    sent = 'sent'
+    established = 'established'
+    over = 'over'
+
+
+@dataclass(slots=True, eq=False)
+class Flow:
+    """One flow, from its SYN until it ends or needs no state any more.
+
+    `syn` is the inner packet without payload, `segment` its fields. `tried`
+    are the backend numbers given up. `passed` says that a SYN-ACK was passed
+    on; from then on the flow is never refused. `refusal` is the reason if it
+    was. `timer` names its current timer.
+    """
+
+    key: bytes
+    route: Route
+    owned: OwnedShard
+    syn: bytes
+    segment: Segment
+    deadline: float
+    phase: Phase = Phase.waiting
+    load: BackendLoad | None = None
+    tried: tuple[int, ...] = ()
+    sent_at: float = 0
+    retry_reason: str = ''
+    passed: bool = False
+    refusal: str = ''
+    timer: int = 0
+
+    @property
+    def number(self) -> int:
+        """The number of the chosen backend, -1 if there is none."""
+        return -1 if self.load is None else self.load.backend.number
+
+    @property
+    def holds(self) -> Holding:
+        """What the flow holds at its backend."""
+        return self.route.template.holds
+
+    def entry(self) -> Entry[Flow]:
+        """Return the flow's entry for the queue."""
+        route = self.route
+        return Entry(
+            self,
+            route.template.urgency,
+            route.workspace,
+            route.share,
+            self.deadline,
+            route.template.queue_limit,
+        )
+
+    def answers(self, segment: Segment) -> bool:
+        """Tell whether a backend's packet acknowledges this flow's SYN."""
+        if not segment.flags & packet.ACK:
+            return False
+        return segment.ack == (self.segment.seq + 1) & 0xFFFFFFFF
+
+
+@dataclass(slots=True, eq=False)
+class OwnedShard:
+    """A shard that this node admits for, with its backends and queues.
+
+    `active` are the backends that may get new flows. `complete` says that a
+    former owner handed its counts over, so reports are not needed, `adopted`
+    that a takeover is over, `is_owner` that the members name this node.
+    `retrying` holds flows that are due for another backend. `run_s` is the
+    mean run time by class, of flows that hold a slot.
+    """
+
+    shard: Shard
+    service: Service
+    since: float
+    active: list[BackendLoad] = field(default_factory=list)
+    queues: dict[Holding, FairQueue[Flow]] = field(default_factory=dict)
+    retrying: list[Flow] = field(default_factory=list)
+    run_s: dict[Urgency, float] = field(default_factory=dict)
+    complete: bool = False
+    adopted: bool = False
+    is_owner: bool = False
+    used_at: float = 0
+
+    def is_takeover(self, now: float) -> bool:
+        """Tell whether this owner does not know yet what runs."""
+        return not self.complete and now - self.since < TAKEOVER_S
+
+    def note_run(self, urgency: Urgency, run_s: float) -> None:
+        """Add a run to the mean run time of its class."""
+        mean = self.run_s.get(urgency, run_s)
+        self.run_s[urgency] = mean + _RUN_WEIGHT * (run_s - mean)
+
+
+class Timers:
+    """Due times of flows; a flow's newest timer replaces the former one."""
+
+    __slots__ = ('_heap', '_seq')
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Flow]] = []
+        self._seq = 0
+
+    def set(self, flow: Flow, due: float) -> None:
+        """Wake the flow at `due`."""
+        self._seq += 1
+        flow.timer = self._seq
+        heapq.heappush(self._heap, (due, self._seq, flow))
+
+    def pop_due(self, now: float) -> list[Flow]:
+        """Return the flows whose time has come."""
+        due = []
+        while self._heap and self._heap[0][0] <= now:
+            _, seq, flow = heapq.heappop(self._heap)
+            if flow.timer == seq:
+                due.append(flow)
+        return due
+
+
+class Closings:
+    """Keys of flows whose end was seen lately."""
+
+    __slots__ = ('_ends',)
+
+    def __init__(self) -> None:
+        self._ends: dict[bytes, float] = {}
+
+    def add(self, key: bytes, now: float) -> bool:
+        """Note an end; tell whether it is the first one seen."""
+        is_first = self._ends.pop(key, None) is None
+        self._ends[key] = now + CLOSING_S
+        return is_first
+
+    def discard(self, key: bytes) -> None:
+        """Forget a key that a new flow uses."""
+        self._ends.pop(key, None)
+
+    def expire(self, now: float) -> None:
+        """Forget ends that are long past; the oldest stand first."""
+        expired = []
+        for key, until in self._ends.items():
+            if until > now:
+                break
+            expired.append(key)
+        for key in expired:
+            self._ends.pop(key)
+
+
+@dataclass(slots=True, eq=False)
+class Admissions:
+    """Everything that a node knows as an owner.
+
+    `loads` is by service and backend number, `by_ip` by the backend's
+    address. `young` are services with backends in slow start, weighed anew at
+    `reweighed_s`. `services` and `members_version` are what the ownership was
+    computed from. `wall_offset` is Unix time minus monotonic time, None
+    before the first tick.
+    """
+
+    flows: dict[bytes, Flow] = field(default_factory=dict)
+    loads: dict[tuple[str, int], BackendLoad] = field(default_factory=dict)
+    by_ip: dict[str, tuple[str, int]] = field(default_factory=dict)
+    shards: dict[str, OwnedShard] = field(default_factory=dict)
+    timers: Timers = field(default_factory=Timers)
+    closings: Closings = field(default_factory=Closings)
+    retries: RetryBudgets = field(default_factory=RetryBudgets)
+    budget: SynBudget = field(default_factory=SynBudget)
+    young: list[Service] = field(default_factory=list)
+    reweighed_s: int = 0
+    services: dict[str, Service] | None = None
+    members_version: int = 0
+    next_poll: float = 0
+    wall_offset: float | None = None
--- /dev/null
+++ b/apricottally/occupancy.py
@@ -0,0 +1,170 @@
+"""What a leaving owner hands to the next one: its counts and slot flows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from apricottally import ownership, packet
+from apricottally.flows import Flow, OwnedShard, Phase
+from apricottally.model import Holding
+from apricottally.routes import Route
+
+if TYPE_CHECKING:
+    from apricottally.state import NodeState
+
+
+class SlotFlow(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A flow that holds a slot.
+
+    `syn` is its SYN, as sent to the backend; `left_ms` is the time until it
+    is written off.
+    """
+
+    syn: bytes
+    number: int
+    left_ms: int
+
+
+class BackendCount(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Open connections of one backend, without those of slot flows."""
+
+    number: int
+    open: int
+
+
+class Occupancy(msgspec.Struct, frozen=True, array_like=True):
+    """All that one owner has admitted for one shard."""
+
+    service: str
+    shard: str
+    counts: tuple[BackendCount, ...]
+    flows: tuple[SlotFlow, ...]
+
+
+def has_waiting(state: NodeState) -> bool:
+    """Tell whether SYNs wait here; a leaving owner sends them first."""
+    phases = {Phase.waiting, Phase.retrying}
+    return any(flow.phase in phases for flow in state.admissions.flows.values())
+
+
+def export_occupancy(state: NodeState, now: float) -> tuple[Occupancy, ...]:
+    """Return what this node has admitted, by shard.
+
+    A SYN that has not been answered counts, since its SYN-ACK goes to the
+    next owner.
+    """
+    return tuple(
+        _export_shard(state, now, owned)
+        for owned in state.admissions.shards.values()
+    )
+
+
+def import_occupancy(
+    state: NodeState,
+    now: float,
+    occupancy: Occupancy,
+) -> bool:
+    """Take a former owner's counts; tell whether they were of use.
+
+    They stand for what reports say otherwise, so they end the time in which
+    a new owner admits by reports only.
+    """
+    service = state.routes.services.get(occupancy.service)
+    shards = () if service is None else service.shards
+    for shard in shards:
+        if service is not None and shard.name == occupancy.shard:
+            owned = ownership.find(state, now, service, shard)
+            if not owned.complete:
+                _import_shard(state, now, owned, occupancy)
+                return True
+    state.counters.add('occupancy', 'unused')
+    return False
+
+
+def _export_shard(
+    state: NodeState,
+    now: float,
+    owned: OwnedShard,
+) -> Occupancy:
+    flows = []
+    for flow in state.admissions.flows.values():
+        is_held = flow.phase in {Phase.sent, Phase.established}
+        if flow.owned is owned and is_held and flow.holds is Holding.slot:
+            run_ms = flow.route.template.max_run_ms
+            left_ms = run_ms - round((now - flow.sent_at) * 1000)
+            flows.append(SlotFlow(flow.syn, flow.number, max(left_ms, 0)))
+    counts = tuple(
+        BackendCount(load.backend.number, load.open) for load in owned.active
+    )
+    name = owned.shard.name
+    return Occupancy(owned.service.name, name, counts, tuple(flows))
+
+
+def _import_shard(
+    state: NodeState,
+    now: float,
+    owned: OwnedShard,
+    occupancy: Occupancy,
+) -> None:
+    state.counters.add('occupancy', 'imported')
+    # Counts taken from reports already stand for the former owner's.
+    counts = () if owned.adopted else occupancy.counts
+    owned.complete = True
+    owned.adopted = True
+    for count in counts:
+        name = occupancy.service, count.number
+        load = state.admissions.loads.get(name)
+        if load is not None:
+            load.open += count.open
+    for slot_flow in occupancy.flows:
+        _import_flow(state, now, owned, slot_flow)
+
+
+def _import_flow(
+    state: NodeState,
+    now: float,
+    owned: OwnedShard,
+    slot_flow: SlotFlow,
+) -> None:
+    """Hold a slot until the flow closes or its time is up.
+
+    Whether its SYN-ACK was passed on is not known, so it is never refused.
+    """
+    admissions = state.admissions
+    segment = packet.parse(slot_flow.syn, 0)
+    key = packet.caller_key(slot_flow.syn, 0)
+    load = admissions.loads.get((owned.service.name, slot_flow.number))
+    route = state.routes.find(segment.dst_ip, segment.dst_port)
+    if load is None or route is None or key in admissions.flows:
+        return
+    if not admissions.closings.add(key, now):
+        # The end of the flow came here before its import.
+        return
+    admissions.closings.discard(key)
+    flow = _build_flow(now, owned, route, slot_flow)
+    flow.load = load
+    load.busy += 1
+    admissions.flows[key] = flow
+    admissions.timers.set(flow, now + slot_flow.left_ms / 1000)
+
+
+def _build_flow(
+    now: float,
+    owned: OwnedShard,
+    route: Route,
+    slot_flow: SlotFlow,
+) -> Flow:
+    run_s = (route.template.max_run_ms - slot_flow.left_ms) / 1000
+    return Flow(
+        key=packet.caller_key(slot_flow.syn, 0),
+        route=route,
+        owned=owned,
+        syn=slot_flow.syn,
+        segment=packet.parse(slot_flow.syn, 0),
+        deadline=now,
+        phase=Phase.established,
+        sent_at=now - run_s,
+        passed=True,
+    )
--- /dev/null
+++ b/apricottally/ownership.py
@@ -0,0 +1,233 @@
+"""Which shards this node admits for, and the backends in them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from apricottally import balance, slowstart
+from apricottally.balance import BackendLoad
+from apricottally.effects import Effect, PollLoad
+from apricottally.fairqueue import FairQueue
+from apricottally.flows import Flow, OwnedShard, Phase
+from apricottally.model import Backend, Holding
+from apricottally.routes import Service
+from apricottally.shards import Shard
+
+if TYPE_CHECKING:
+    from apricottally.state import NodeState
+
+# SYNs that wait at one owner for one shard, at most.
+QUEUE_LIMIT = 512
+POLL_INTERVAL_S = 2.0
+# A new owner admits by reports alone, so it asks more often.
+TAKEOVER_POLL_S = 0.5
+# Time after the last SYN for which a shard that another node owns is kept.
+KEPT_S = 10.0
+
+
+def find(
+    state: NodeState,
+    now: float,
+    service: Service,
+    shard: Shard,
+) -> OwnedShard:
+    """Return the shard's state, made up to date; there is always one.
+
+    Whoever gets a SYN acts as owner, even if another node owns the shard.
+    """
+    owned = state.admissions.shards.get(shard.name)
+    if owned is None:
+        owned = _build(state, now, service, shard)
+    _update(state, now, owned, service, shard)
+    owned.used_at = now
+    return owned
+
+
+def refresh(state: NodeState, now: float, wall_s: float) -> None:
+    """Bring the owned shards and their weights up to date."""
+    admissions = state.admissions
+    admissions.wall_offset = wall_s - now
+    services = state.routes.services
+    if (
+        services is not admissions.services
+        or state.members.version != admissions.members_version
+    ):
+        admissions.services = services
+        admissions.members_version = state.members.version
+        admissions.young = list(services.values())
+        admissions.reweighed_s = 0
+        for service in services.values():
+            _own_shards(state, now, service)
+    second = int(wall_s)
+    if admissions.young and second != admissions.reweighed_s:
+        admissions.reweighed_s = second
+        slowstart.reweigh(admissions.young, second)
+        admissions.young = [
+            service
+            for service in admissions.young
+            if slowstart.has_young(service, second)
+        ]
+
+
+def poll(state: NodeState, now: float) -> list[Effect]:
+    """Ask the owned backends for their load when it is time."""
+    admissions = state.admissions
+    if now < admissions.next_poll:
+        return []
+    shards = list(admissions.shards.values())
+    takeover = any(owned.is_takeover(now) for owned in shards)
+    interval = TAKEOVER_POLL_S if takeover else POLL_INTERVAL_S
+    admissions.next_poll = now + interval
+    loads = [load for owned in shards for load in owned.active]
+    if not loads:
+        return []
+    for load in loads:
+        load.mark_poll()
+    return [PollLoad(tuple(load.backend.ip for load in loads))]
+
+
+def settle(state: NodeState, now: float) -> None:
+    """End takeovers, and forget shards that another node now owns."""
+    admissions = state.admissions
+    for name, owned in list(admissions.shards.items()):
+        if not owned.adopted and not owned.is_takeover(now):
+            owned.adopted = True
+            if not owned.complete:
+                balance.adopt_connections(owned.active, now)
+        waiting = [*owned.retrying, *filter(len, owned.queues.values())]
+        is_idle = now - owned.used_at > KEPT_S and not waiting
+        if is_idle and not state.owners.owns(name, owned.shard.zone):
+            _forget(state, owned)
+
+
+def _own_shards(state: NodeState, now: float, service: Service) -> None:
+    for shard in service.shards:
+        owned = state.admissions.shards.get(shard.name)
+        is_owner = state.owners.owns(shard.name, shard.zone)
+        if owned is not None and is_owner and not owned.is_owner:
+            _take_over_again(state, now, owned)
+        if owned is None and is_owner:
+            owned = _build(state, now, service, shard)
+        if owned is not None:
+            owned.is_owner = is_owner
+            _update(state, now, owned, service, shard)
+
+
+def _build(
+    state: NodeState,
+    now: float,
+    service: Service,
+    shard: Shard,
+) -> OwnedShard:
+    owned = OwnedShard(shard, service, now)
+    for holds in Holding:
+        owned.queues[holds] = FairQueue(QUEUE_LIMIT)
+    state.admissions.shards[shard.name] = owned
+    # The first report decides what a new owner may admit.
+    state.admissions.next_poll = now
+    _take_backends(state, now, owned, is_new=True)
+    return owned
+
+
+def _update(
+    state: NodeState,
+    now: float,
+    owned: OwnedShard,
+    service: Service,
+    shard: Shard,
+) -> None:
+    if owned.shard is shard:
+        return
+    owned.shard = shard
+    owned.service = service
+    _take_backends(state, now, owned, is_new=False)
+
+
+def _take_over_again(
+    state: NodeState,
+    now: float,
+    owned: OwnedShard,
+) -> None:
+    """Start anew after another node owned the shard for a time.
+
+    Ends of flows went to that node, so the flows known here may be over.
+    """
+    owned.since = now
+    owned.complete = False
+    owned.adopted = False
+    state.admissions.next_poll = now
+    for flow in _list_flows(state, owned):
+        if flow.phase is Phase.established and flow.load is not None:
+            flow.load.free(flow.holds)
+            _drop(state, flow)
+
+
+def _take_backends(
+    state: NodeState,
+    now: float,
+    owned: OwnedShard,
+    *,
+    is_new: bool,
+) -> None:
+    """Bring the backends of a shard up to date with the records."""
+    active = []
+    for number in owned.shard.numbers:
+        backend = owned.service.backends[number]
+        load = _find_load(state, now, owned, backend, is_new=is_new)
+        active.append(load)
+    owned.active = active
+
+
+def _find_load(
+    state: NodeState,
+    now: float,
+    owned: OwnedShard,
+    backend: Backend,
+    *,
+    is_new: bool,
+) -> BackendLoad:
+    admissions = state.admissions
+    name = owned.service.name, backend.number
+    held = admissions.loads.get(name)
+    if held is not None and held.backend.ip == backend.ip:
+        held.backend = backend
+        return held
+    known_since = now
+    if is_new:
+        # This node may not have seen when the number came up, so the age
+        # comes from the record.
+        known_since -= _find_age(state, now, backend)
+    load = BackendLoad(backend, known_since)
+    admissions.loads[name] = load
+    admissions.by_ip[backend.ip] = name
+    return load
+
+
+def _find_age(state: NodeState, now: float, backend: Backend) -> float:
+    offset = state.admissions.wall_offset
+    if offset is None:
+        return slowstart.FULL_AGE_S
+    return slowstart.find_age(backend, now + offset)
+
+
+def _forget(state: NodeState, owned: OwnedShard) -> None:
+    """Drop a shard with its counts: another owner has newer ones."""
+    admissions = state.admissions
+    admissions.shards.pop(owned.shard.name)
+    for load in owned.active:
+        admissions.loads.pop((owned.service.name, load.backend.number), None)
+        admissions.by_ip.pop(load.backend.ip, None)
+    for flow in _list_flows(state, owned):
+        _drop(state, flow)
+
+
+def _list_flows(state: NodeState, owned: OwnedShard) -> list[Flow]:
+    flows = state.admissions.flows.values()
+    return [flow for flow in flows if flow.owned is owned]
+
+
+def _drop(state: NodeState, flow: Flow) -> None:
+    flow.phase = Phase.over
+    flow.timer = 0
+    if state.admissions.flows.get(flow.key) is flow:
+        state.admissions.flows.pop(flow.key)
--- a/apricottally/reducer.py
+++ b/apricottally/reducer.py
@@ -32,7 +32,7 @@
     return [
         *membership.tick(state, event),
         *dissemination.tick(state, event),
-        *admission.tick(state, event.now),
+        *admission.tick(state, event.now, event.wall_s),
     ]
 
 
@@ -50,10 +50,6 @@
     return []
 
 
-def _take_load(state: NodeState, event: LoadReported) -> list[Effect]:
-    return []
-
-
 def _shut_down(state: NodeState, event: ShutdownRequested) -> list[Effect]:
     state.stopping = True
     return [Exit(0)]
@@ -66,6 +62,6 @@
     RecordsReceived: dissemination.receive_records,
     PlatformLost: _lose_platform,
     SwapCompleted: _complete_swap,
-    LoadReported: _take_load,
+    LoadReported: admission.receive_load,
     ShutdownRequested: _shut_down,
 }
--- a/apricottally/shards.py
+++ b/apricottally/shards.py
@@ -11,18 +11,19 @@
 SHARD_BACKENDS = 64
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Shard:
     """The backend servers of one service and zone that one node admits for.
 
-    `numbers` are those that may get new flows; `weight` is their slots.
+    `numbers` are those that may get new flows; `weight` is their slots. It
+    is the only field that changes: it grows while backends are in slow start.
     """
 
     name: str
     service: str
     zone: str
     numbers: tuple[int, ...]
-    weight: int
+    weight: float
 
 
 def count_shards(backends: int) -> int:
@@ -126,7 +127,7 @@
     return best
 
 
-def _weigh(hashed: int, weight: int) -> float:
+def _weigh(hashed: int, weight: float) -> float:
     """Return u ** (1 / weight) for u uniform in (0, 1): weighted rendezvous."""
     uniform = (hashed + 1) / ((1 << 64) + 1)
     return float(uniform ** (1 / weight))
--- a/apricottally/state.py
+++ b/apricottally/state.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from apricottally.addresses import Endpoint
-from apricottally.admission import Admissions
 from apricottally.counters import Counters
 from apricottally.explanation import Decisions
+from apricottally.flows import Admissions
 from apricottally.invariants import Invariants
 from apricottally.members import Member, MemberTable
 from apricottally.records import RecordStore
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,351 @@
+"""What the owner of a shard decides about first and last packets."""
+
+import msgspec
+import pytest
+
+from apricottally import attempts, packet
+from apricottally.errors import InvariantError
+from apricottally.model import BackendState, Holding, Template, Urgency
+from apricottally.occupancy import (
+    Occupancy,
+    export_occupancy,
+    has_waiting,
+    import_occupancy,
+)
+from tests.owner import Owner, build_backends
+
+RST_ACK = packet.RST | packet.ACK
+REFUSED = [('caller', 'refusal')]
+
+
+def fill(owner: Owner, flows: int, **where) -> dict[int, int]:
+    """Open flows on ports from 1; return the backend of each."""
+    return {port: owner.open(port, **where) for port in range(1, flows + 1)}
+
+
+def test_repeated_syn_keeps_its_decision() -> None:
+    """Guards against a second backend for a retransmitted SYN."""
+    owner = Owner(build_backends(1))
+    assert owner.syn(1) == owner.syn(1) == [(0, 'syn')]
+    owner.answer(1, 0)
+    assert owner.syn(1) == [(0, 'syn')]
+    owner.open(2)
+    assert owner.syn(3) == owner.syn(3) == []
+    assert owner.rules(3) == [('wait', 'no_room')]
+    owner.close(1, 0)
+    assert owner.count('admitted') == 3
+    assert owner.syn(1) == []
+
+
+def test_late_port_reuse_is_a_new_flow() -> None:
+    """Guards against a new flow taken for its predecessor's duplicate."""
+    owner = Owner()
+    number = owner.open(1)
+    owner.close(1, number)
+    assert owner.syn(1, seq=900) == [(number, 'syn')]
+    owner.tick(0.2)
+    assert owner.answer(1, number, ack=901) == [('caller', 'syn_ack')]
+    owner.tick(6)
+    assert owner.load(number).busy == 1
+
+
+@pytest.mark.parametrize(
+    ('flags', 'by_caller', 'busy', 'passed'),
+    [
+        (packet.FIN | packet.ACK, False, 0, ('caller', 'fin')),
+        (packet.RST, False, 0, ('caller', 'rst')),
+        (packet.RST, True, 0, (0, 'rst')),
+        (packet.FIN | packet.ACK, True, 1, (0, 'fin')),
+    ],
+)
+def test_slot_is_freed_by_its_end(flags, by_caller, busy, passed) -> None:
+    """Guards against a slot that leaks, or is freed while work runs."""
+    owner = Owner(build_backends(1))
+    owner.open(1)
+    for _ in range(2):
+        end = owner.end_by_caller if by_caller else owner.answer
+        assert end(1, 0, flags=flags) == [passed]
+        assert owner.load(0).busy == busy
+
+
+def test_connection_is_counted_once() -> None:
+    """Guards against a FIN that is counted at each retransmission."""
+    owner = Owner(build_backends(1))
+    fill(owner, 3, kind='feed')
+    owner.tick(6)
+    assert not owner.state.admissions.flows
+    assert owner.load(0).open == 3
+    for _ in range(3):
+        assert owner.close(1, 0, kind='feed') == [('caller', 'fin')]
+        owner.tick(6)
+    owner.end_by_caller(2, 0, packet.RST, kind='feed')
+    assert owner.load(0).open == 1
+
+
+def test_slot_flow_is_written_off() -> None:
+    """Guards against a slot lost for good with a flow that never closes."""
+    owner = Owner(build_backends(1))
+    owner.open(1)
+    owner.tick(29)
+    assert owner.load(0).busy == 1
+    owner.tick(2)
+    assert owner.load(0).busy == 0
+    assert owner.count('written_off', 'max_run') == 1
+
+
+def test_slots_are_not_over_admitted() -> None:
+    """Guards against more flows than slots; the rest waits in order."""
+    owner = Owner()
+    fill(owner, 4)
+    assert [owner.load(number).busy for number in (0, 1)] == [2, 2]
+    assert owner.syn(5) == owner.syn(6) == []
+    load = owner.load(0)
+    with pytest.raises(InvariantError, match='slot_over_admitted'):
+        for flow in list(owner.state.admissions.flows.values()):
+            attempts.send(owner.state, owner.now, flow, load)
+
+
+def test_freed_slot_goes_to_the_next_waiting() -> None:
+    """Guards against waiting SYNs that nothing wakes."""
+    owner = Owner(build_backends(1))
+    fill(owner, 2)
+    owner.syn(5, 'sheet')
+    owner.syn(6)
+    assert owner.close(1, 0) == [('caller', 'fin'), (0, 'syn')]
+    assert owner.rules(6)[-1] == ('admit', 'least_outstanding')
+    assert owner.rules(5, 'sheet')[-1] == ('wait', 'no_room')
+
+
+def test_deadline_refuses() -> None:
+    """Guards against a SYN that starts after its caller stopped waiting."""
+    owner = Owner(build_backends(1))
+    fill(owner, 2)
+    owner.syn(5)
+    assert owner.tick(0.4) == []
+    assert owner.tick(0.2) == REFUSED
+    assert owner.rules(5)[-1] == ('refuse', 'deadline')
+    assert owner.close(1, 0) == [('caller', 'fin')]
+
+
+def test_late_work_is_refused_early() -> None:
+    """Guards against queueing work that cannot start in time."""
+    owner = Owner(build_backends(1))
+    for port in range(1, 40):
+        owner.open(port)
+        owner.tick(0.3)
+        owner.close(port, 0)
+    owner.open(50)
+    owner.open(51)
+    answers = [owner.syn(port) for port in range(60, 66)]
+    # 0.3 s a run and 2 slots: three runs ahead take 0.45 s, four 0.6 s.
+    assert answers == [[], [], [], [], REFUSED, REFUSED]
+    assert owner.count('refused', 'deadline') == 2
+
+
+def retry_owner(tries: int = 10, backends: int = 3) -> Owner:
+    """Return an owner whose first workspace has earned retries."""
+    owner = Owner(build_backends(backends))
+    for port in range(1000, 1000 + tries):
+        number = owner.open(port)
+        owner.close(port, number)
+    return owner
+
+
+def test_shed_syn_is_retried_elsewhere() -> None:
+    """Guards against a refusal while another backend can run the work."""
+    owner = retry_owner()
+    first = owner.admit(1)
+    second, kind = owner.answer(1, first, RST_ACK)[0]
+    assert kind == 'syn'
+    assert second != first
+    assert owner.load(first).busy == 0
+    assert owner.count('retried', 'shed') == 1
+    assert owner.answer(1, second, RST_ACK) == REFUSED
+    assert owner.rules(1)[-1] == ('refuse', 'backend_refused')
+    assert owner.syn(1) == REFUSED
+
+
+@pytest.mark.parametrize(
+    ('tries', 'backends', 'obstacle'),
+    [(8, 3, 'budget'), (40, 1, 'no_backend'), (40, 4, 'attempts')],
+)
+def test_retry_is_refused(tries, backends, obstacle) -> None:
+    """Guards against retries that multiply load, or go on for ever."""
+    owner = retry_owner(tries, backends)
+    owner.syn(1)
+    tried = []
+    while not owner.count('refused'):
+        busy = [one for one in range(backends) if owner.load(one).busy]
+        for number in busy:
+            tried.append(number)
+            owner.answer(1, number, RST_ACK)
+        owner.tick(0.1)
+    assert owner.count('retry_refused', obstacle) == 1
+    assert len(set(tried)) == len(tried) == {'attempts': 3}.get(obstacle, 1)
+    assert owner.count('retried') == len(tried) - 1
+
+
+def test_retry_ends_at_the_deadline() -> None:
+    """Guards against a retry that starts after its caller stopped waiting."""
+    owner = retry_owner()
+    number = owner.admit(1)
+    owner.now += 0.6
+    assert owner.answer(1, number, RST_ACK) == REFUSED
+    assert owner.count('retry_refused', 'deadline') == 1
+
+
+def test_silent_backend_is_abandoned() -> None:
+    """Guards against a late SYN-ACK that competes with the retry's."""
+    owner = retry_owner()
+    first = owner.admit(1)
+    sent = owner.tick(0.4)
+    assert sent[0] == (first, 'rst')
+    second, kind = sent[1]
+    assert kind == 'syn'
+    assert owner.answer(1, first) == [(first, 'rst')]
+    assert owner.answer(1, first, RST_ACK) == []
+    assert owner.answer(1, second) == [('caller', 'syn_ack')]
+    assert ('reset', 'late_syn_ack') in owner.rules(1)
+
+
+def test_silent_fleet_is_refused_once() -> None:
+    """Guards against a caller that is never told."""
+    owner = Owner()
+    first = owner.admit(1)
+    assert owner.tick(0.9) == []
+    assert owner.tick(0.3) == [(first, 'rst'), ('caller', 'refusal')]
+    assert owner.load(first).busy == 0
+    assert owner.answer(1, first) == [(first, 'rst')]
+
+
+def test_no_refusal_after_syn_ack() -> None:
+    """Guards against "not run" for a flow that may have run."""
+    owner = Owner()
+    number = owner.open(1)
+    assert owner.answer(1, number, RST_ACK) == [('caller', 'rst')]
+    assert owner.syn(1) == []
+    flow = next(iter(owner.state.admissions.flows.values()))
+    with pytest.raises(InvariantError, match='refusal_after_syn_ack'):
+        attempts.refuse_flow(owner.state, owner.now, flow, 'deadline')
+
+
+def test_backend_without_timestamps() -> None:
+    """Guards against an open flow that no cookie can route."""
+    owner = Owner()
+    number = owner.admit(1)
+    sent = owner.answer(1, number, options=b'\x01')
+    assert sent == [(number, 'rst'), ('caller', 'refusal')]
+    assert owner.count('refused', 'backend_no_timestamps') == 1
+    assert owner.syn(2, options=b'\x01') == REFUSED
+    assert owner.count('refused', 'no_timestamps') == 1
+
+
+def test_answers_to_another_owner_pass() -> None:
+    """Guards against an open flow cut by an owner that does not know it."""
+    owner = Owner()
+    assert owner.answer(1, 0) == [('caller', 'syn_ack')]
+    number = owner.admit(1)
+    other = 1 - number
+    assert owner.answer(1, other) == [('caller', 'syn_ack')]
+    assert owner.close(1, other) == [('caller', 'fin')]
+    assert owner.answer(1, number) == [('caller', 'syn_ack')]
+
+
+def test_node_overload_sheds_the_least_urgent() -> None:
+    """Guards against a flood that takes the node's CPU from urgent work."""
+    owner = Owner(build_backends(60), shops=1)
+    ports = range(1, 700)
+    for port in ports:
+        owner.syn(port, 'sheet')
+    assert owner.count('refused', 'node_overload') > 400
+    assert owner.rules(699, 'sheet') == [('refuse', 'node_overload')]
+    before = owner.count('refused', 'node_overload')
+    for port in range(1, 101):
+        owner.syn(port)
+    assert owner.count('refused', 'node_overload') == before
+
+
+def test_drain_and_loss_of_all_backends() -> None:
+    """Guards against new flows on a backend that leaves."""
+    owner = Owner()
+    fill(owner, 2)
+    left, kept = build_backends(2)
+    drained = msgspec.structs.replace(left, state=BackendState.draining)
+    owner.put_backends((drained, kept))
+    before = owner.load(0).started
+    for port in range(10, 14):
+        owner.syn(port)
+    assert owner.load(0).started == before
+    owner.put_backends((drained,))
+    assert owner.syn(20) == REFUSED
+    assert owner.count('refused', 'no_backend') == 1
+
+
+@pytest.mark.parametrize(
+    ('reported', 'admitted'), [(None, 0), (0, 2), (1, 1), (2, 0), (9, 0)]
+)
+@pytest.mark.parametrize('kind', ['hold', 'feed'])
+def test_new_owner_admits_by_report(reported, admitted, kind) -> None:
+    """Guards against a new owner that overruns what the old one admitted."""
+    backends = build_backends(1, connections=2)
+    owner = Owner(backends, warm=False)
+    assert owner.polled
+    if reported is not None:
+        owner.report(0, reported, reported)
+    sent = [owner.syn(port, kind) for port in range(1, 4)]
+    assert sum(map(len, sent)) == admitted
+
+
+def test_counts_are_handed_over() -> None:
+    """Guards against a new owner that waits for reports, or overruns."""
+    old = Owner(build_backends(2))
+    fill(old, 3)
+    old.open(9, 'feed')
+    assert not has_waiting(old.state)
+    wire = msgspec.msgpack.encode(export_occupancy(old.state, old.now)[0])
+    new = Owner(build_backends(2), warm=False)
+    decoded = msgspec.msgpack.decode(wire, type=Occupancy)
+    assert import_occupancy(new.state, new.now, decoded)
+    assert not import_occupancy(new.state, new.now, decoded)
+    loads = [(new.load(one).busy, new.load(one).open) for one in (0, 1)]
+    assert loads == [(old.load(one).busy, old.load(one).open) for one in (0, 1)]
+    assert len(new.syn(20)) == 1
+    assert new.syn(21) == []
+    port, number = 1, next(iter(decoded.flows)).number
+    assert (number, 'syn') in new.close(port, number)
+
+
+def test_flood_of_one_workspace() -> None:
+    """Guards against workspaces that fill the queue of a smaller one."""
+    templates = {
+        'hold': Template('desk', Urgency.urgent, 443, Holding.slot, 60_000),
+    }
+    owner = Owner(build_backends(1), templates, shops=10)
+    fill(owner, 2)
+    for shop in range(9):
+        for port in range(100, 170):
+            owner.syn(port, shop=shop)
+            owner.now += 0.001
+    assert owner.count('refused') == owner.count('refused', 'queue_full')
+    assert owner.syn(1, shop=9) == REFUSED
+    assert owner.rules(1, shop=9) == [('wait', 'no_room')]
+    owner.close(1, 0)
+    for _ in range(9):
+        owner.finish_one()
+    assert owner.rules(1, shop=9)[-1] == ('admit', 'least_outstanding')
+
+
+def test_urgent_work_displaces_a_flood() -> None:
+    """Guards against urgent SYNs refused for less urgent ones."""
+    owner = Owner(build_backends(1), shops=9)
+    fill(owner, 2)
+    for shop in range(9):
+        for port in range(100, 160):
+            owner.syn(port, 'sheet', shop=shop)
+            owner.now += 0.0005
+    assert owner.count('refused', 'queue_full') > 0
+    assert owner.syn(5) == REFUSED
+    assert owner.rules(5) == [('wait', 'no_room')]
+    assert owner.count('refused', 'shed_class') == 1
+    assert owner.close(1, 0)[1:] == [(0, 'syn')]
+    assert owner.rules(5)[-1] == ('admit', 'least_outstanding')
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,232 @@
+"""Choice of a backend, slow start, and reports that mislead."""
+
+import itertools
+import random
+from collections import Counter
+
+import msgspec
+import pytest
+
+from apricottally import balance, overload, retries, slowstart
+from apricottally.balance import BackendLoad
+from apricottally.events import LoadReport
+from apricottally.model import Holding, Urgency
+from apricottally.routes import build_service
+from tests.owner import WALL_S, Owner, build_backends
+
+# Seconds of a run, and requests kept running at once, of 4 backends.
+RUN_S = 0.05
+STEPS = 4000
+
+
+def build_loads(count: int, **changes) -> list[BackendLoad]:
+    backends = build_backends(count, **changes)
+    return [BackendLoad(backend, -100) for backend in backends]
+
+
+LIES = {
+    'honest': lambda busy: busy,
+    'zero': lambda busy: 0,
+    'frozen': lambda busy: 2,
+    'inverted': lambda busy: 2 - busy,
+    'huge': lambda busy: 1000,
+}
+
+
+@pytest.mark.parametrize('lie', LIES)
+@pytest.mark.parametrize('running', [3, 5])
+def test_imbalance_with_misleading_reports(lie, running) -> None:
+    """Guards against a backend whose reports draw load, or repel it."""
+    rng = random.Random(f'{lie}{running}')
+    loads = build_loads(4)
+    served: Counter[int] = Counter()
+    held: list[BackendLoad] = []
+    for step in range(STEPS):
+        now = step * RUN_S / running
+        if step % 100 == 0:
+            for load in loads:
+                load.mark_poll()
+                tell = LIES[lie] if load is loads[0] else LIES['honest']
+                report = LoadReport(tell(load.busy), 0, 'ready')
+                balance.take_report(load, report, now)
+        if len(held) >= running:
+            held.pop(rng.randrange(len(held))).free(Holding.slot)
+        key = step.to_bytes(12, 'big')
+        chosen = balance.choose(loads, Holding.slot, key, now)
+        assert chosen is not None
+        chosen.take(Holding.slot)
+        balance.note_accepted(chosen, now)
+        held.append(chosen)
+        if step > STEPS // 2:
+            served[chosen.backend.number] += 1
+    # At most 1.1 times the mean of the four.
+    assert max(served.values()) * 40 <= served.total() * 11
+
+
+@pytest.mark.parametrize(
+    ('busy', 'own', 'ended', 'free'),
+    [
+        (0, 0, 0, 4),
+        (1, 0, 0, 3),
+        (4, 0, 0, 2),
+        (4, 2, 0, 0),
+        (2, 2, 0, 2),
+        (3, 2, 1, 2),
+        (0, 3, 0, 1),
+    ],
+)
+def test_reports_lower_capacity_at_most_by_half(busy, own, ended, free) -> None:
+    """Guards against reports that add capacity or take all of it."""
+    load = build_loads(1, slots=4)[0]
+    load.busy = own
+    load.ended = ended
+    balance.take_report(load, LoadReport(busy, 0, 'ready'), 10)
+    for now, expected in ((10, free), (14.9, free), (15, 4 - own)):
+        found = balance.count_free(load, Holding.slot, now, takeover=False)
+        assert found == expected
+
+
+def test_claim_is_probed_and_believed_when_true() -> None:
+    """Guards against a claim that halves a backend for good."""
+    load = build_loads(1)[0]
+    free = []
+    for now in (10, 12, 14, 16):
+        load.mark_poll()
+        balance.take_report(load, LoadReport(2, 0, 'ready'), now)
+        free.append(balance.count_free(load, Holding.slot, now, takeover=False))
+    assert free == [1, 1, 1, 2]
+    balance.note_shed(load, 16)
+    assert balance.count_free(load, Holding.slot, 16, takeover=False) == 1
+
+
+@pytest.mark.parametrize(
+    ('draining', 'chosen'), [((0,), {1, 2}), ((0, 1, 2), {0, 1, 2})]
+)
+def test_reported_drain(draining, chosen) -> None:
+    """Guards against work for a draining backend, and an emptied shard."""
+    loads = build_loads(3)
+    for number in draining:
+        report = LoadReport(0, 0, 'draining')
+        balance.take_report(loads[number], report, 10)
+    found = {
+        balance.choose(loads, Holding.slot, bytes([key]) * 12, 10)
+        for key in range(50)
+    }
+    assert {load.backend.number for load in found} == chosen
+
+
+def test_connections_are_least_outstanding_per_capacity() -> None:
+    """Guards against connections that pile up on a small backend."""
+    loads = build_loads(2)
+    small = msgspec.structs.replace(loads[0].backend, connections=500)
+    loads[0].backend = small
+    for index in range(1000):
+        key = index.to_bytes(12, 'big')
+        chosen = balance.choose(loads, Holding.connection, key, 0)
+        chosen.take(Holding.connection)
+    assert [load.open for load in loads] == [200, 800]
+
+
+@pytest.mark.parametrize(
+    ('opened', 'reported', 'bounds'),
+    [
+        ((1000, 1000, 1000), 0, (900, 1000)),
+        ((1000, 1000, 1000), 2000, (1000, 1100)),
+        ((100, 1000, 1000), 100, (100, 100)),
+        ((1000, 700, 700), 700, (700, 760)),
+        ((700, 700, 700), 705, (700, 700)),
+    ],
+)
+def test_drift_of_connections_is_corrected(opened, reported, bounds) -> None:
+    """Guards against counts that drift, and reports that move them far."""
+    loads = build_loads(3)
+    for load, count in zip(loads, opened, strict=True):
+        load.open = count
+    for now in range(100):
+        report = LoadReport(0, reported, 'ready')
+        balance.take_report(loads[0], report, now)
+        balance.correct_drift(loads[0], loads, now)
+    assert bounds[0] <= loads[0].open <= bounds[1]
+
+
+def test_slow_start() -> None:
+    """Guards against a cold backend that gets a full share at once."""
+    loads = build_loads(4)
+    loads[3].known_since = 0
+    shares = []
+    for second in range(14):
+        served: Counter[int] = Counter()
+        for step in range(400):
+            now = second + step / 400
+            key = f'{second:06}{step:06}'.encode()
+            chosen = balance.choose(loads, Holding.slot, key, now)
+            balance.spend_credit(loads, chosen, now)
+            served[chosen.backend.number] += 1
+        shares.append(served[3] / 100)
+    assert shares[:2] == [0, 0]
+    # A share of w among 3 whole ones is 4w / (3 + w) of the mean.
+    middles = [(second - 1.5) / 10 for second in range(2, 12)]
+    expected = [4 * middle / (3 + middle) for middle in middles]
+    assert shares[2:12] == pytest.approx(expected, abs=0.06)
+    assert shares[13] == pytest.approx(1, abs=0.2)
+
+
+def test_shard_grows_with_its_new_backend() -> None:
+    """Guards against a shard that gets a new backend's flows too early."""
+    old = build_backends(3)
+    new = msgspec.structs.replace(old[2], changed_s=WALL_S)
+    service = build_service('desk', 1, (*old[:2], new))
+    shard = service.shards[0]
+    weights = []
+    for age in range(14):
+        slowstart.reweigh([service], WALL_S + age)
+        weights.append(shard.weight)
+    ramp = [0.2 * step for step in range(1, 11)]
+    assert weights == pytest.approx([4, 4, 4, *(4 + w for w in ramp), 6])
+    young = tuple(
+        msgspec.structs.replace(backend, changed_s=WALL_S) for backend in old
+    )
+    service = build_service('desk', 1, young)
+    slowstart.reweigh([service], WALL_S)
+    assert service.shards[0].weight == 6
+
+
+def test_new_backend_waits_until_its_number_is_known() -> None:
+    """Guards against flows with a number that other nodes do not know."""
+    owner = Owner(build_backends(1))
+    owner.put_backends(build_backends(2))
+    for port in (1, 2, 3):
+        owner.syn(port)
+    assert owner.load(1).busy == 0
+    assert owner.tick(1.8)[0] == ('caller', 'refusal')
+    owner.tick(0.3)
+    owner.syn(4)
+    owner.syn(5)
+    assert owner.load(1).busy == 1
+
+
+def test_retry_budget_is_a_tenth() -> None:
+    """Guards against retries that multiply the load of a failing fleet."""
+    budgets = retries.RetryBudgets()
+    retried = 0
+    for tries in range(1, 2001):
+        budgets.earn('a')
+        retried += budgets.spend('a') + budgets.spend('a')
+        assert retried <= tries / 10
+    assert retried >= 199
+    assert not budgets.spend('b')
+    for _ in range(1000):
+        budgets.earn('c')
+    assert sum(itertools.takewhile(bool, map(budgets.spend, 'c' * 9))) == 5
+
+
+def test_syn_budget() -> None:
+    """Guards against a node that spends its budget on the least urgent."""
+    budget = overload.SynBudget(1000)
+    taken: Counter[Urgency] = Counter()
+    for step in range(20_000):
+        now = step / 5000
+        urgency = Urgency.urgent if step % 10 == 0 else Urgency.background
+        taken[urgency] += budget.spend(now, urgency)
+    assert taken[Urgency.urgent] == 2000
+    assert taken.total() == pytest.approx(4000, abs=150)
