--- a/apricottally/__main__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""Run the daemon with `python -m apricottally`."""
-
-from apricottally.daemon import main
-
-main()
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -2,8 +2,10 @@
 
 import pytest
 
-from apricottally import gue, packet, shards, silence
-from apricottally.events import PacketReceived, Ticked
+from apricottally import gue, messages, packet, shards, silence
+from apricottally.effects import Effect, SendPeer
+from apricottally.events import PacketReceived, PeerReceived, Ticked
+from apricottally.messages import Ack, Ping
 from apricottally.packet import RST, Segment
 from apricottally.reducer import reduce
 from apricottally.state import NodeState
@@ -41,10 +43,26 @@
         """Tick on, with replies of the backend to another flow."""
         while self.now < end:
             self.now = round(self.now + 0.5, 3)
-            reduce(self.node, Ticked(self.now, 0))
+            self.answer_pings(reduce(self.node, Ticked(self.now, 0)))
             if replies:
                 self.reply()
 
+    def answer_pings(self, effects: list[Effect]) -> None:
+        """Answer for the other members, so that none is held to be dead."""
+        members = self.node.members.members.values()
+        by_peer = {member.peer: member for member in members}
+        for effect in effects:
+            if not isinstance(effect, SendPeer):
+                continue
+            message = messages.decode(effect.payload)
+            if isinstance(message, Ping):
+                view = message.view
+                ack = Ack(message.seq, by_peer[effect.dest], view)
+                payload = messages.encode(ack)
+                reduce(
+                    self.node, PeerReceived(self.now, effect.dest, payload)
+                )
+
     def reply(self) -> None:
         inner = fleet.build_reply(
             ts_val=self.clock(self.now),
