Send FIN and RST on at once and tell the owner by a copy

Cause: packets with FIN or RST went through the owner of their shard. The last data of an answer often carries the FIN, so after the kill of an owner such answers waited until the owner was declared dead (about 6 s). Change: closing.py sends them straight on by cookie; the owner gets a copy of the headers as a notice. Only SYN, SYN-ACK and the reset that answers a SYN (sequence 0) still go through the owner. Conclusion: no packet of an open flow depends on another node.

--- a/apricottally/admission.py
+++ b/apricottally/admission.py
@@ -79,30 +79,45 @@
     return _pass_to_caller(state, number, segment, datagram)
 
 
-def receive_close(
+def receive_refusal(
     state: NodeState,
     now: float,
     route: Route,
     number: int,
     segment: Segment,
     datagram: bytes,
-    *,
-    from_backend: bool,
 ) -> list[Effect]:
-    """Pass a FIN or RST on and free what the flow held."""
-    if from_backend:
-        return _close_from_backend(state, now, route, number, segment, datagram)
-    effects: list[Effect] = []
-    if segment.flags & packet.RST:
-        key = packet.caller_key(datagram, segment.start)
-        effects = _end(state, now, route, number, key)
-    endpoint = route.service.endpoints.get(number)
-    if endpoint is None:
-        return effects
-    inner = datagram[segment.start :]
-    if segment.timestamps:
-        inner = packet.clear_number(datagram, segment)
-    return [SendPacket(endpoint, gue.encode(inner)), *effects]
+    """Take a backend's reset of a SYN: nothing ran there."""
+    key = packet.reply_key(datagram, segment.start)
+    flow = state.admissions.flows.get(key)
+    if flow is None:
+        # Another owner chose this backend; the caller's SYN is refused.
+        return _pass_to_caller(state, number, segment, datagram)
+    is_current = flow.number == number and flow.answers(segment)
+    if not is_current or flow.passed or flow.load is None:
+        state.counters.add('dropped', 'late_refusal')
+        return []
+    note_shed(flow.load, now)
+    effects = attempts.retry(state, now, flow, 'shed')
+    if effects is None:
+        attempts.give_up(flow)
+        effects = attempts.refuse_flow(state, now, flow, 'backend_refused')
+    return effects + attempts.place_waiting(state, now, flow.owned)
+
+
+def note_close(
+    state: NodeState,
+    now: float,
+    route: Route,
+    number: int,
+    key: bytes,
+) -> list[Effect]:
+    """Free what a flow held, once, and use it for those waiting."""
+    flow = state.admissions.flows.get(key)
+    if flow is not None and (number in flow.tried or not flow.passed):
+        state.counters.add('unused_notice', 'late_close')
+        return []
+    return _end(state, now, route, number, key)
 
 
 def receive_load(state: NodeState, event: LoadReported) -> list[Effect]:
@@ -263,44 +278,6 @@
     return effects + attempts.place_waiting(state, now, flow.owned)
 
 
-def _close_from_backend(
-    state: NodeState,
-    now: float,
-    route: Route,
-    number: int,
-    segment: Segment,
-    datagram: bytes,
-) -> list[Effect]:
-    key = packet.reply_key(datagram, segment.start)
-    flow = state.admissions.flows.get(key)
-    if flow is not None and number in flow.tried:
-        state.counters.add('dropped', 'late_close')
-        return []
-    if flow is not None and number == flow.number and not flow.passed:
-        return _receive_shed(state, now, flow, segment)
-    effects = _end(state, now, route, number, key)
-    return _pass_to_caller(state, number, segment, datagram) + effects
-
-
-def _receive_shed(
-    state: NodeState,
-    now: float,
-    flow: Flow,
-    segment: Segment,
-) -> list[Effect]:
-    """Take a backend's reset of the SYN: nothing ran there."""
-    if not (segment.flags & packet.RST and flow.answers(segment)):
-        state.counters.add('dropped', 'late_close')
-        return []
-    if flow.load is not None:
-        note_shed(flow.load, now)
-    effects = attempts.retry(state, now, flow, 'shed')
-    if effects is None:
-        attempts.give_up(flow)
-        effects = attempts.refuse_flow(state, now, flow, 'backend_refused')
-    return effects + attempts.place_waiting(state, now, flow.owned)
-
-
 def _end(
     state: NodeState,
     now: float,
--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -11,6 +11,7 @@
 from apricottally import (
     addresses,
     admission,
+    closing,
     fastpath,
     gue,
     outbound,
@@ -87,17 +88,13 @@
         if _is_suspect(state, endpoint, segment, handover):
             return _track(state, event, route, segment, handover)
         return _forward(state, event, endpoint, segment)
-    shard = route.service.shard_of[number]
-    if _is_for_owner(state, shard, handover):
-        return _hand_over(state, event, shard, segment, Direction.caller)
-    return admission.receive_close(
+    return closing.close_from_caller(
         state,
-        event.now,
+        event,
         route,
         number,
         segment,
-        event.payload,
-        from_backend=False,
+        handover,
     )
 
 
@@ -260,32 +257,38 @@
         state.counters.counts['forwarded', 'backend'] += 1
         inner = packet.write_number(event.payload, segment, number)
         return [SendPacket(state.config.gateway, gue.PLAIN_HEADER + inner)]
+    is_first = flags & packet.SYN or closing.answers_syn(segment)
+    if not is_first:
+        return closing.close_from_backend(
+            state,
+            event,
+            route,
+            number,
+            segment,
+            handover,
+        )
     shard = service.shard_of[number]
     if _is_for_owner(state, shard, handover):
         return _hand_over(state, event, shard, segment, Direction.backend)
-    if flags & packet.SYN:
-        return _receive_syn_ack(state, event, route, number, segment)
-    return admission.receive_close(
-        state,
-        event.now,
-        route,
-        number,
-        segment,
-        event.payload,
-        from_backend=True,
-    )
+    return _receive_answer(state, event, route, number, segment)
 
 
-def _receive_syn_ack(
+def _receive_answer(
     state: NodeState,
     event: PacketReceived,
     route: Route,
     number: int,
     segment: Segment,
 ) -> list[Effect]:
-    if segment.flags & (packet.ACK | packet.FIN | packet.RST) != packet.ACK:
-        return drop(state, 'foreign_flags')
-    return admission.receive_syn_ack(
+    """Handle a backend's answer to a SYN at the owner of its shard."""
+    if segment.flags & packet.SYN:
+        others = packet.ACK | packet.FIN | packet.RST
+        if segment.flags & others != packet.ACK:
+            return drop(state, 'foreign_flags')
+        receive = admission.receive_syn_ack
+    else:
+        receive = admission.receive_refusal
+    return receive(
         state,
         event.now,
         route,
--- a/apricottally/gue.py
+++ b/apricottally/gue.py
@@ -35,6 +35,9 @@
     backend = 2
     # The sender knows neither address of the packet.
     unknown = 3
+    # Copies of the headers of a FIN or RST that was sent on already.
+    caller_notice = 4
+    backend_notice = 5
 
 
 _DIRECTIONS = frozenset(Direction)
