--- /dev/null
+++ b/standins/platformstore.py
@@ -0,0 +1,188 @@
+"""Keys of the platform stand-in, with every revision of each.
+
+Entries are `KeyValue` messages of the etcd v3 API and are never changed in
+place. Revisions are monotone; all writes of one transaction share one.
+"""
+
+import bisect
+from collections import defaultdict
+from collections.abc import Callable
+
+from apricottally.etcd_pb2 import Event, KeyValue
+
+MAX_VALUE_BYTES = 1_000_000
+# A `range_end` that stands for all keys from `key` on.
+TO_THE_END = b'\0'
+# The revision of an empty store.
+FIRST_REVISION = 1
+
+
+class StoreError(Exception):
+    """A request that the store refuses; the text is the one of etcd."""
+
+
+class TooLargeError(StoreError):
+    """A value above the limit."""
+
+
+class CompactedError(StoreError):
+    """A revision that is no longer kept."""
+
+
+class FutureError(StoreError):
+    """A revision that does not exist yet."""
+
+
+class Store:
+    """Key-value store with history.
+
+    `revision` is that of the last write, `compacted` the highest revision
+    whose history is gone. `listeners` are called after each commit.
+    """
+
+    def __init__(self) -> None:
+        self.revision = FIRST_REVISION
+        self.compacted = 0
+        self.listeners: set[Callable[[], object]] = set()
+        self._events: list[Event] = []
+        self._event_revisions: list[int] = []
+        self._by_key: defaultdict[bytes, list[Event]] = defaultdict(list)
+        # Every key that was ever written, sorted.
+        self._keys: list[bytes] = []
+        self._writing = False
+
+    def find(self, key: bytes) -> KeyValue | None:
+        """Return the present entry of a key."""
+        events = self._by_key.get(key)
+        if not events or events[-1].type == Event.DELETE:
+            return None
+        return events[-1].kv
+
+    def list_range(
+        self,
+        key: bytes,
+        range_end: bytes,
+        revision: int = 0,
+    ) -> list[KeyValue]:
+        """Return the entries of a range at a revision (0: now), by key.
+
+        Raises `CompactedError` and `FutureError`.
+        """
+        if revision:
+            self._check_revision(revision)
+        wanted = self._select(key, range_end)
+        found = (self._find_at(each, revision) for each in wanted)
+        return [entry for entry in found if entry is not None]
+
+    def put(self, key: bytes, value: bytes, lease: int = 0) -> KeyValue | None:
+        """Write a key and return its former entry; raises `TooLargeError`."""
+        self.check_value(value)
+        former = self.find(key)
+        revision = self.revision + 1
+        entry = KeyValue(
+            key=key,
+            value=value,
+            lease=lease,
+            mod_revision=revision,
+            create_revision=former.create_revision if former else revision,
+            version=former.version + 1 if former else 1,
+        )
+        self._append(Event(type=Event.PUT, kv=entry, prev_kv=former))
+        return former
+
+    def check_value(self, value: bytes) -> None:
+        """Raise `TooLargeError` for a value that is not accepted."""
+        if len(value) > MAX_VALUE_BYTES:
+            raise TooLargeError('etcdserver: request is too large')
+
+    def delete_range(self, key: bytes, range_end: bytes) -> list[KeyValue]:
+        """Delete the keys of a range and return their former entries."""
+        former = self.list_range(key, range_end)
+        for entry in former:
+            gone = KeyValue(key=entry.key, mod_revision=self.revision + 1)
+            self._append(Event(type=Event.DELETE, kv=gone, prev_kv=entry))
+        return former
+
+    def commit(self) -> None:
+        """End a request: its writes, if any, make up one revision."""
+        if not self._writing:
+            return
+        self._writing = False
+        self.revision += 1
+        for listener in tuple(self.listeners):
+            listener()
+
+    def list_events(
+        self,
+        key: bytes,
+        range_end: bytes,
+        start_revision: int,
+    ) -> list[Event]:
+        """Return the committed events of a range from a revision on.
+
+        Raises `CompactedError`.
+        """
+        if start_revision <= self.compacted:
+            raise CompactedError(
+                'etcdserver: mvcc: required revision has been compacted',
+            )
+        start = bisect.bisect_left(self._event_revisions, start_revision)
+        return [
+            event
+            for event in self._events[start:]
+            if holds(key, range_end, event.kv.key)
+        ]
+
+    def compact(self, revision: int) -> None:
+        """Forget the history up to a revision."""
+        self.compacted = max(self.compacted, min(revision, self.revision))
+
+    def _append(self, event: Event) -> None:
+        self._writing = True
+        self._events.append(event)
+        self._event_revisions.append(event.kv.mod_revision)
+        key = event.kv.key
+        if key not in self._by_key:
+            bisect.insort(self._keys, key)
+        self._by_key[key].append(event)
+
+    def _select(self, key: bytes, range_end: bytes) -> list[bytes]:
+        """Return the keys of a range that were ever written, sorted."""
+        if not range_end:
+            return [key] if key in self._by_key else []
+        start = bisect.bisect_left(self._keys, key)
+        if range_end == TO_THE_END:
+            return self._keys[start:]
+        return self._keys[start : bisect.bisect_left(self._keys, range_end)]
+
+    def _check_revision(self, revision: int) -> None:
+        if revision < self.compacted:
+            raise CompactedError(
+                'etcdserver: mvcc: required revision has been compacted',
+            )
+        if revision > self.revision:
+            raise FutureError(
+                'etcdserver: mvcc: required revision is a future revision',
+            )
+
+    def _find_at(self, key: bytes, revision: int) -> KeyValue | None:
+        if not revision:
+            return self.find(key)
+        events = self._by_key[key]
+        index = bisect.bisect_right(
+            events,
+            revision,
+            key=lambda event: event.kv.mod_revision,
+        )
+        if not index or events[index - 1].type == Event.DELETE:
+            return None
+        return events[index - 1].kv
+
+
+def holds(key: bytes, range_end: bytes, candidate: bytes) -> bool:
+    """Tell whether a key is in the range as the etcd API defines it."""
+    if not range_end:
+        return candidate == key
+    if range_end == TO_THE_END:
+        return candidate >= key
+    return key <= candidate < range_end
