--- a/apricottally/errors.py
+++ b/apricottally/errors.py
@@ -42,6 +42,10 @@
     """The platform's service did not answer, or refused the call."""
 
 
+class CompactedError(PlatformError):
+    """The platform no longer keeps the revision that was asked for."""
+
+
 class PublishError(ApricottallyError):
     """A publication that was not accepted, or whose outcome is unknown."""
 
--- /dev/null
+++ b/apricottally/platformclient.py
@@ -0,0 +1,219 @@
+"""Client of the platform's key-value service: etcd v3 API over grpclib.
+
+Every call has a deadline. A call that failed raises `PlatformError`; only a
+swap whose answer is missing returns, with the outcome `unknown`, since the
+write may have taken effect.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import Literal, TypeAlias, TypeVar
+
+from grpclib.client import Channel
+
+from apricottally import etcd_pb2 as pb
+from apricottally import model
+from apricottally.addresses import Endpoint
+from apricottally.errors import CompactedError
+from apricottally.etcd_grpc import KVStub
+from apricottally.events import Record
+from apricottally.platformcalls import (
+    Limits,
+    UnknownError,
+    decode_entry,
+    prefix_end,
+    translated,
+)
+from apricottally.platformwatch import Watch
+
+Outcome: TypeAlias = Literal['stored', 'conflict', 'unknown']
+Answer = TypeVar('Answer')
+
+
+@dataclass(frozen=True, slots=True)
+class SwapOutcome:
+    """How a compare-and-swap ended.
+
+    `version` is the key's new version if it was stored, the version found
+    in the way after a conflict (0: the key does not exist), 0 otherwise.
+    `reason` says why the outcome is unknown.
+    """
+
+    outcome: Outcome
+    version: int = 0
+    reason: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """Records from a list (`complete`) or a watch, up to a revision."""
+
+    records: tuple[Record, ...]
+    revision: int
+    complete: bool
+
+
+class PlatformClient:
+    """Calls to the platform; made by `open_platform`."""
+
+    def __init__(self, endpoint: Endpoint, limits: Limits) -> None:
+        self._endpoint = endpoint
+        self._limits = limits
+        self._channel = Channel(*endpoint)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._channel.close()
+
+    async def list_records(self) -> tuple[tuple[Record, ...], int]:
+        """Return all records of the system and the revision they are from."""
+        own, revision = await self._list_prefix(model.PREFIX, 0)
+        machines, _ = await self._list_prefix(model.MACHINE_PREFIX, revision)
+        return tuple(own + machines), revision
+
+    async def read(self, key: str) -> Record | None:
+        """Return the record of a key, None if it does not exist."""
+        entry = await self.read_entry(key)
+        return None if entry is None else decode_entry(entry)
+
+    async def read_entry(self, key: str) -> pb.KeyValue | None:
+        """Return the platform's own entry of a key, with all revisions."""
+        answer = await self._range(pb.RangeRequest(key=key.encode()))
+        return answer.kvs[0] if answer.kvs else None
+
+    async def swap(self, key: str, version: int, value: bytes) -> SwapOutcome:
+        """Write a key if its version still is `version` (0: no such key).
+
+        Raises `PlatformError` only if the write is known not to have taken
+        effect.
+        """
+        put = pb.PutRequest(key=key.encode(), value=value)
+        operation = pb.RequestOp(request_put=put)
+        return await self._compare_and_do(key, version, operation)
+
+    async def remove(self, key: str, version: int) -> SwapOutcome:
+        """Delete a key if its version still is `version`; see `swap`."""
+        delete = pb.DeleteRangeRequest(key=key.encode())
+        operation = pb.RequestOp(request_delete_range=delete)
+        return await self._compare_and_do(key, version, operation)
+
+    async def watch(
+        self,
+        revision: int,
+    ) -> AsyncIterator[tuple[tuple[Record, ...], int]]:
+        """Yield changes after a revision, and the revision to resume from.
+
+        A lost watch is opened again from where it was. Raises
+        `CompactedError` if that revision is no longer kept, so that the
+        records have to be listed again, and `PlatformError` if the platform
+        does not answer.
+        """
+        watch = Watch(self._endpoint, self._limits, revision)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(watch.close)
+            while True:
+                records = await watch.receive()
+                if records:
+                    yield records, watch.revision
+
+    async def follow(self) -> AsyncIterator[Batch]:
+        """Yield all records, then changes; list again after a compaction.
+
+        Raises `PlatformError` if the platform does not answer.
+        """
+        while True:
+            records, revision = await self.list_records()
+            yield Batch(records, revision, complete=True)
+            with contextlib.suppress(CompactedError):
+                async for changed, seen in self.watch(revision):
+                    yield Batch(changed, seen, complete=False)
+
+    async def _list_prefix(
+        self,
+        prefix: str,
+        revision: int,
+    ) -> tuple[list[Record], int]:
+        """Read the records of a prefix, page by page, at one revision."""
+        records: list[Record] = []
+        start = prefix.encode()
+        while True:
+            request = pb.RangeRequest(
+                key=start,
+                range_end=prefix_end(prefix),
+                limit=self._limits.page_keys,
+                revision=revision,
+            )
+            answer = await self._range(request)
+            revision = revision or answer.header.revision
+            records.extend(map(decode_entry, answer.kvs))
+            if not answer.more:
+                return records, revision
+            start = answer.kvs[-1].key + b'\0'
+
+    async def _range(self, request: pb.RangeRequest) -> pb.RangeResponse:
+        return await self._call(lambda stub: stub.Range(request))
+
+    async def _compare_and_do(
+        self,
+        key: str,
+        version: int,
+        operation: pb.RequestOp,
+    ) -> SwapOutcome:
+        compare = pb.Compare(
+            result=pb.Compare.EQUAL,
+            target=pb.Compare.MOD,
+            key=key.encode(),
+            mod_revision=version,
+        )
+        found = pb.RequestOp(request_range=pb.RangeRequest(key=key.encode()))
+        request = pb.TxnRequest(
+            compare=[compare],
+            success=[operation],
+            failure=[found],
+        )
+        try:
+            answer = await self._call(lambda stub: stub.Txn(request))
+        except UnknownError as error:
+            return SwapOutcome('unknown', reason=str(error))
+        return _conclude(answer)
+
+    async def _call(
+        self,
+        call: Callable[[KVStub], Awaitable[Answer]],
+    ) -> Answer:
+        """Do one call within its deadline."""
+        channel = self._channel
+        try:
+            with translated():
+                async with asyncio.timeout(self._limits.call_s):
+                    return await call(KVStub(channel))
+        except UnknownError:
+            self._replace(channel)
+            raise
+
+    def _replace(self, channel: Channel) -> None:
+        """Give up a connection that may be cut without any sign of it."""
+        if self._channel is channel:
+            channel.close()
+            self._channel = Channel(*self._endpoint)
+
+
+@contextlib.asynccontextmanager
+async def open_platform(
+    endpoint: Endpoint,
+    limits: Limits | None = None,
+) -> AsyncIterator[PlatformClient]:
+    """Make a client; it connects with the first call."""
+    client = PlatformClient(endpoint, limits or Limits())
+    with contextlib.closing(client):
+        yield client
+
+
+def _conclude(answer: pb.TxnResponse) -> SwapOutcome:
+    if answer.succeeded:
+        return SwapOutcome('stored', answer.header.revision)
+    entries = answer.responses[0].response_range.kvs
+    version = entries[0].mod_revision if entries else 0
+    return SwapOutcome('conflict', version)
