Pass the time to the stand-in stack's admission rule

Cause: a server's rule needs the time to start a job's timeout. Change: admit(now, segment), and the timer heap moved to its own module.

--- a/standins/stack.py
+++ b/standins/stack.py
@@ -4,11 +4,10 @@
 generator given at the start.
 """
 
-import heapq
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from apricottally import packet
 from apricottally.errors import WireError
@@ -16,9 +15,12 @@
 from standins.tcp import Connection, State
 from standins.tcpbuffers import distance
 from standins.tcpoutput import Flow, TcpConfig, TimestampClock
+from standins.timers import Timers
 
+_FLAGS = packet.SYN | packet.ACK | packet.RST
 
-def reject(syn: Segment) -> bool:
+
+def reject(now: float, syn: Segment) -> bool:
     """Admit no connection; the rule of a machine that only calls."""
     return False
 
@@ -31,24 +33,6 @@
     scheduled: float = math.inf
 
 
-@dataclass(slots=True)
-class _Timers:
-    """Times at which connections may be due, earliest first."""
-
-    heap: list[tuple[float, int, Flow]] = field(default_factory=list)
-    count: int = 0
-
-    def push(self, due: float, flow: Flow) -> None:
-        self.count += 1
-        heapq.heappush(self.heap, (due, self.count, flow))
-
-    def pop(self, now: float) -> tuple[float, Flow] | None:
-        if not self.heap or self.heap[0][0] > now:
-            return None
-        due, _, flow = heapq.heappop(self.heap)
-        return due, flow
-
-
 class Stack:
     """Connections of one machine; packets to send gather in the outbox.
 
@@ -59,7 +43,7 @@
         self,
         rng: random.Random,
         config: TcpConfig | None = None,
-        admit: Callable[[Segment], bool] = reject,
+        admit: Callable[[float, Segment], bool] = reject,
     ) -> None:
         self.clock = TimestampClock(rng.getrandbits(31) | 1 << 20)
         self.config = config or TcpConfig()
@@ -68,7 +52,7 @@
         self._admit = admit
         self._outbox: list[bytes] = []
         self._entries: dict[Flow, _Entry] = {}
-        self._timers = _Timers()
+        self._timers = Timers()
 
     @property
     def connections(self) -> int:
@@ -78,8 +62,7 @@
     @property
     def deadline(self) -> float:
         """When `tick` may be due, infinite if never."""
-        heap = self._timers.heap
-        return heap[0][0] if heap else math.inf
+        return self._timers.earliest
 
     def take_packets(self) -> list[bytes]:
         """Return the inner packets to send, and forget them."""
@@ -169,12 +152,12 @@
     ) -> Connection | None:
         """Return the connection that takes the packet, if one does."""
         entry = self._entries.get(flow)
-        is_syn = segment.flags & packet.SYN and not segment.flags & packet.ACK
+        is_syn = segment.flags & _FLAGS == packet.SYN
         if entry is not None:
             if not (is_syn and _may_replace(entry.connection, segment)):
                 return entry.connection
             del self._entries[flow]
-        if is_syn and not segment.flags & packet.RST and self._admit(segment):
+        if is_syn and self._admit(now, segment):
             connection = self._create(flow, self.config)
             connection.accept(now, segment)
             self._settle(connection)
--- a/tests/test_standins_tcp.py
+++ b/tests/test_standins_tcp.py
@@ -37,7 +37,9 @@
     def __post_init__(self) -> None:
         self.rng = random.Random(SEED)
         self.caller = Stack(random.Random(1), TcpConfig())
-        self.server = Stack(random.Random(2), TcpConfig(), lambda syn: True)
+        self.server = Stack(
+            random.Random(2), TcpConfig(), lambda now, syn: True
+        )
 
     @property
     def now(self) -> float:
