--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,74 @@
+"""Process that hosts backend servers, each on its own address.
+
+`python -m standins.backend --settings FILE.json`. Each server takes GUE on
+port 6080 and sends its replies to the fabric. Port 6084 answers `GET /load`,
+`GET /journal` and `POST /drain`.
+"""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from apricottally import addresses
+from standins import datagrams, process, web
+from standins.capacity import ServerConfig
+from standins.server import Server
+
+
+class BackendSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of the process; `fabric` takes the backends' replies."""
+
+    fabric: str
+    servers: tuple[ServerConfig, ...]
+    seed: int = 1
+
+
+@contextlib.asynccontextmanager
+async def serve(settings: BackendSettings) -> AsyncIterator[None]:
+    """Host the backend servers while the context lasts."""
+    rng = random.Random(settings.seed)
+    async with contextlib.AsyncExitStack() as servers:
+        for config in settings.servers:
+            own_rng = random.Random(rng.getrandbits(64))
+            running = serve_one(config, settings.fabric, own_rng)
+            await servers.enter_async_context(running)  # noqa: WPS476
+        yield
+
+
+@contextlib.asynccontextmanager
+async def serve_one(
+    config: ServerConfig,
+    fabric: str,
+    rng: random.Random,
+) -> AsyncIterator[Server]:
+    """Host one backend server while the context lasts."""
+    loop = asyncio.get_running_loop()
+    server = Server(config, rng, loop.time())
+    opened = datagrams.open_socket(config.ip, addresses.PACKET_PORT)
+    target = process.parse_endpoint(fabric)
+    routes = {
+        'GET /load': lambda: server.capacity.report(loop.time()),
+        'GET /journal': lambda: describe(server),
+        'POST /drain': lambda: server.capacity.drain(loop.time()),
+    }
+    with opened, datagrams.Driver(server, opened, target).run():
+        async with web.serve((config.ip, addresses.LOAD_PORT), routes):
+            yield server
+
+
+def describe(server: Server) -> dict[str, object]:
+    """Return the server's journal and counts."""
+    return {
+        'name': server.config.name,
+        'service': server.config.service,
+        'damaged': server.stack.damaged,
+        'counts': server.counts,
+        'entries': server.journal,
+    }
+
+
+if __name__ == '__main__':
+    process.run(serve(process.read_settings(BackendSettings, __doc__)))
