--- a/standins/backend.py
+++ b/standins/backend.py
@@ -51,7 +51,7 @@
     target = process.parse_endpoint(fabric)
     routes = {
         'GET /load': lambda: server.capacity.report(loop.time()),
-        'GET /journal': lambda: describe(server),
+        'GET /journal': server.describe,
         'POST /drain': lambda: server.capacity.drain(loop.time()),
     }
     with opened, datagrams.Driver(server, opened, target).run():
@@ -59,16 +59,5 @@
             yield server
 
 
-def describe(server: Server) -> dict[str, object]:
-    """Return the server's journal and counts."""
-    return {
-        'name': server.config.name,
-        'service': server.config.service,
-        'damaged': server.stack.damaged,
-        'counts': server.counts,
-        'entries': server.journal,
-    }
-
-
 if __name__ == '__main__':
     process.run(serve(process.read_settings(BackendSettings, __doc__)))
--- a/standins/server.py
+++ b/standins/server.py
@@ -36,6 +36,19 @@
     ended: str = 'running'
 
 
+class JournalReport(msgspec.Struct):
+    """Everything a backend did; `counts` are flows by what became of them.
+
+    `damaged` counts packets with wrong checksums or headers.
+    """
+
+    name: str
+    service: str
+    damaged: int
+    counts: dict[str, int]
+    entries: list[Entry]
+
+
 @dataclass(slots=True)
 class _Job:
     """A flow from its SYN until its work ended.
@@ -92,6 +105,16 @@
                 self._run_due(now, flow, job)
         self.capacity.record(now)
 
+    def describe(self) -> JournalReport:
+        """Return the journal and the counts."""
+        return JournalReport(
+            self.config.name,
+            self.config.service,
+            self.stack.damaged,
+            self.counts,
+            self.journal,
+        )
+
     def _admit(self, now: float, syn: Segment) -> bool:
         """Take a new flow if there is room for it."""
         holds_slot = syn.dst_port in self.config.slot_ports
