--- a/apricottally/driver.py
+++ b/apricottally/driver.py
@@ -25,7 +25,7 @@
         actions: Mapping[type, Callable[[Any], None]],
     ) -> None:
         self.state = state
-        self._actions = actions
+        self.actions = actions
 
     def submit(self, event: Event) -> None:
         """Apply one event and carry out its effects."""
@@ -35,7 +35,7 @@
             raise
         except Exception:
             effects = self._report(event)
-        actions = self._actions
+        actions = self.actions
         for effect in effects:
             actions[type(effect)](effect)
 
--- a/apricottally/events.py
+++ b/apricottally/events.py
@@ -64,7 +64,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformLost:
-    """A call to the platform failed."""
+    """A call to the platform failed.
+
+    `reason` is one of few words, since it labels a counter.
+    """
 
     now: float
     reason: str
--- a/apricottally/messages.py
+++ b/apricottally/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from apricottally.admitted import Occupancy
 from apricottally.errors import WireError
 from apricottally.members import Member
 
@@ -159,6 +160,12 @@
     keys: tuple[str, ...]
 
 
+class OccupancyReport(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """Hands over what a leaving owner has admitted for one shard."""
+
+    occupancy: Occupancy
+
+
 Message: TypeAlias = (
     Ping
     | Ack
@@ -175,6 +182,7 @@
     | ListQuery
     | ListReply
     | FetchQuery
+    | OccupancyReport
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/apricottally/occupancy.py
+++ b/apricottally/occupancy.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from apricottally import ownership, packet
+from apricottally.admitted import BackendCount, Occupancy, SlotFlow
 from apricottally.flows import Flow, OwnedShard, Phase
 from apricottally.model import Holding
 from apricottally.routes import Route
@@ -15,34 +14,6 @@
     from apricottally.state import NodeState
 
 
-class SlotFlow(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """A flow that holds a slot.
-
-    `syn` is its SYN, as sent to the backend; `left_ms` is the time until it
-    is written off.
-    """
-
-    syn: bytes
-    number: int
-    left_ms: int
-
-
-class BackendCount(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """Open connections of one backend, without those of slot flows."""
-
-    number: int
-    open: int
-
-
-class Occupancy(msgspec.Struct, frozen=True, array_like=True):
-    """All that one owner has admitted for one shard."""
-
-    service: str
-    shard: str
-    counts: tuple[BackendCount, ...]
-    flows: tuple[SlotFlow, ...]
-
-
 def has_waiting(state: NodeState) -> bool:
     """Tell whether SYNs wait here; a leaving owner sends them first."""
     phases = {Phase.waiting, Phase.retrying}
@@ -76,7 +47,7 @@
     for shard in shards:
         if service is not None and shard.name == occupancy.shard:
             owned = ownership.find(state, now, service, shard)
-            if not owned.complete:
+            if occupancy.part or not owned.complete:
                 _import_shard(state, now, owned, occupancy)
                 return True
     state.counters.add('occupancy', 'unused')
@@ -109,6 +80,17 @@
     occupancy: Occupancy,
 ) -> None:
     state.counters.add('occupancy', 'imported')
+    if not occupancy.part:
+        _import_counts(state, owned, occupancy)
+    for slot_flow in occupancy.flows:
+        _import_flow(state, now, owned, slot_flow)
+
+
+def _import_counts(
+    state: NodeState,
+    owned: OwnedShard,
+    occupancy: Occupancy,
+) -> None:
     # Counts taken from reports already stand for the former owner's.
     counts = () if owned.adopted else occupancy.counts
     owned.complete = True
@@ -118,8 +100,6 @@
         load = state.admissions.loads.get(name)
         if load is not None:
             load.open += count.open
-    for slot_flow in occupancy.flows:
-        _import_flow(state, now, owned, slot_flow)
 
 
 def _import_flow(
--- a/apricottally/peerlink.py
+++ b/apricottally/peerlink.py
@@ -10,6 +10,7 @@
     membership,
     messages,
     repair,
+    shutdown,
     transfer,
 )
 from apricottally.addresses import Endpoint
@@ -55,4 +56,5 @@
     messages.ListQuery: repair.receive_list_query,
     messages.ListReply: repair.receive_list,
     messages.FetchQuery: repair.receive_fetch_query,
+    messages.OccupancyReport: shutdown.receive_report,
 }
--- a/apricottally/reducer.py
+++ b/apricottally/reducer.py
@@ -15,10 +15,11 @@
     numbering,
     outbound,
     peerlink,
+    shutdown,
     silence,
     watch,
 )
-from apricottally.effects import Effect, Exit
+from apricottally.effects import Effect
 from apricottally.events import (
     Event,
     LoadReported,
@@ -47,14 +48,10 @@
         *peerlink.tick(state, event.now),
         *numbering.tick(state, event),
         *outbound.keep_valid(state, admitted),
+        *shutdown.tick(state, event.now),
     ]
 
 
-def _shut_down(state: NodeState, event: ShutdownRequested) -> list[Effect]:
-    state.stopping = True
-    return [*membership.leave(state, event.now), Exit(0)]
-
-
 _HANDLERS: dict[type, Callable[[NodeState, Any], list[Effect]]] = {
     PacketReceived: forwarding.receive_packet,
     PeerReceived: peerlink.receive_peer,
@@ -63,5 +60,5 @@
     PlatformLost: watch.lose,
     SwapCompleted: numbering.complete_swap,
     LoadReported: admission.receive_load,
-    ShutdownRequested: _shut_down,
+    ShutdownRequested: shutdown.request,
 }
--- a/apricottally/state.py
+++ b/apricottally/state.py
@@ -13,6 +13,7 @@
 from apricottally.records import RecordStore
 from apricottally.routes import RouteTable
 from apricottally.shards import Owners
+from apricottally.shutdown import Shutdown
 from apricottally.silence import Clocks, Suspects
 from apricottally.strays import Budget
 
@@ -63,4 +64,4 @@
         self.clocks = Clocks()
         self.suspects = Suspects()
         self.strays = Budget()
-        self.stopping = False
+        self.shutdown = Shutdown()
--- a/apricottally/watching.py
+++ b/apricottally/watching.py
@@ -2,39 +2,26 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from typing import Protocol, TypeAlias
+from typing import Protocol
 
-from apricottally.effects import SwapRecord
+from apricottally.effects import LogValue, SwapRecord
 from apricottally.errors import PlatformError
 from apricottally.events import (
     Event,
     PlatformLost,
-    Record,
     RecordsReceived,
     SwapCompleted,
 )
-
-Batch: TypeAlias = tuple[tuple[Record, ...], int]
-
-
-class Outcome(Protocol):
-    """How a compare-and-swap ended; `value` is the event's outcome."""
-
-    @property
-    def value(self) -> str:
-        """One of `stored`, `conflict` and `unknown`."""
+from apricottally.platformclient import Batch, SwapOutcome
 
 
 class Platform(Protocol):
     """What the watch needs of the platform's client."""
 
-    async def list_records(self) -> Batch:
-        """Return every record and the store's revision."""
+    def follow(self) -> AsyncIterator[Batch]:
+        """Yield all records, then their changes."""
 
-    def watch(self, revision: int) -> AsyncIterator[Batch]:
-        """Yield the changes after a revision."""
-
-    async def swap(self, key: str, version: int, value: bytes) -> Outcome:
+    async def swap(self, key: str, version: int, value: bytes) -> SwapOutcome:
         """Write a value if the key still has the version."""
 
 
@@ -50,17 +37,19 @@
         platform: Platform,
         submit: Callable[[Event], None],
         clock: Callable[[], float],
+        log: Callable[[str, dict[str, LogValue]], None],
     ) -> None:
         self._platform = platform
         self._submit = submit
         self._clock = clock
+        self._log = log
         self._watch: asyncio.Task[None] | None = None
         self._swaps: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
-        """Start a watch unless one is running."""
-        if self._watch is None or self._watch.done():
-            self._watch = asyncio.create_task(self._run())
+        """Start a watch; one that is running ends first."""
+        self.stop()
+        self._watch = asyncio.create_task(self._run())
 
     def stop(self) -> None:
         """Stop the watch."""
@@ -82,32 +71,34 @@
 
     async def _run(self) -> None:
         try:
-            await self._list_and_watch()
+            await self._follow()
         except PlatformError as error:
-            self._submit(PlatformLost(self._clock(), str(error)))
-
-    async def _list_and_watch(self) -> None:
-        records, revision = await self._platform.list_records()
-        now = self._clock()
-        self._submit(RecordsReceived(now, records, revision, complete=True))
-        async for changes, reached in self._platform.watch(revision):
-            now = self._clock()
-            self._submit(
-                RecordsReceived(now, changes, reached, complete=False),
+            self._log('platform_failed', {'problem': str(error)})
+            self._submit(PlatformLost(self._clock(), 'call_failed'))
+
+    async def _follow(self) -> None:
+        async for batch in self._platform.follow():
+            event = RecordsReceived(
+                self._clock(),
+                batch.records,
+                batch.revision,
+                batch.complete,
             )
-        raise PlatformError('the watch ended')
+            self._submit(event)
 
     async def _swap(self, effect: SwapRecord) -> None:
         try:
-            outcome = await self._platform.swap(
+            answer = await self._platform.swap(
                 effect.key,
                 effect.version,
                 effect.value,
             )
-        except PlatformError:
-            ended = 'unknown'
+        except PlatformError as error:
+            # The write is known not to have taken effect.
+            self._log('swap_failed', {'problem': str(error)})
+            outcome = 'conflict'
         else:
-            ended = outcome.value
+            outcome = answer.outcome
         self._submit(
-            SwapCompleted(self._clock(), effect.op_id, effect.key, ended),
+            SwapCompleted(self._clock(), effect.op_id, effect.key, outcome),
         )
