--- /dev/null
+++ b/apricottally/fields.py
@@ -0,0 +1,129 @@
+"""Tables of TOML files read into structs, with every fault at once.
+
+The decoder of msgspec stops at the first fault. Here each field is converted
+on its own; a field that fails keeps the value of a sample, so that the checks
+of the other fields still run.
+"""
+
+import enum
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, TypeVar, get_args, get_origin
+
+import msgspec
+
+Body = TypeVar('Body', bound=msgspec.Struct)
+
+# Key path of faults that concern the whole file.
+WHOLE_FILE = '$'
+
+_TYPE_WORDS: dict[Any, str] = {
+    str: 'text',
+    int: 'a whole number',
+    float: 'a number',
+    dict: 'a table',
+    tuple: 'a list',
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What is wrong with the value at a key path."""
+
+    path: str
+    problem: str
+
+
+def read_table(path: Path) -> tuple[dict[str, Any], list[Fault]]:
+    """Read a TOML file; its table is empty if there is a fault."""
+    try:
+        return tomllib.loads(path.read_text(encoding='utf-8')), []
+    except OSError as error:
+        problem = f'cannot be read: {error.strerror}'
+    except ValueError as error:
+        problem = f'is not valid TOML: {error}'
+    return {}, [Fault(WHOLE_FILE, problem)]
+
+
+def read_fields(
+    sample: Body,
+    table: object,
+    path: str = '',
+) -> tuple[Body, list[Fault]]:
+    """Return the sample with the table's fields, and the table's faults."""
+    if not isinstance(table, dict):
+        problem = f'expected a table, got `{type(table).__name__}`'
+        return sample, [Fault(path or WHOLE_FILE, problem)]
+    known = {each.name: each for each in msgspec.structs.fields(sample)}
+    faults = [
+        Fault(join_path(path, key), f'unknown key; known: {", ".join(known)}')
+        for key in table
+        if key not in known
+    ]
+    values = {}
+    for name, info in known.items():
+        read, problems = _read_field(info, table, join_path(path, name))
+        faults += problems
+        if not problems:
+            values[name] = read
+    return msgspec.structs.replace(sample, **values), faults
+
+
+def join_path(path: str, name: str) -> str:
+    """Return the key path of a name below a path."""
+    return f'{path}.{name}' if path else name
+
+
+def describe_type(kind: Any) -> str:
+    """Return the allowed values of a field's type in words."""
+    for part in get_args(kind)[1:] if get_origin(kind) is Annotated else ():
+        if isinstance(part, msgspec.Meta) and part.description:
+            return part.description
+    if isinstance(kind, type) and issubclass(kind, enum.Enum):
+        return ', '.join(str(member.value) for member in kind)
+    return _TYPE_WORDS.get(get_origin(kind) or kind, str(kind))
+
+
+def _read_field(
+    info: msgspec.structs.FieldInfo,
+    table: dict[str, Any],
+    path: str,
+) -> tuple[Any, list[Fault]]:
+    if info.name not in table and info.required:
+        allowed = describe_type(info.type)
+        return None, [Fault(path, f'missing; allowed: {allowed}')]
+    value = table.get(info.name, info.default)
+    return _convert(value, info.type, path)
+
+
+def _convert(value: Any, kind: Any, path: str) -> tuple[Any, list[Fault]]:
+    """Convert a value, entry by entry if it is a table or a list."""
+    origin = get_origin(kind)
+    if origin is dict and isinstance(value, dict):
+        entry_kind = get_args(kind)[1]
+        entries = [
+            _convert(each, entry_kind, join_path(path, key))
+            for key, each in value.items()
+        ]
+        collected: Any = {
+            key: entry[0] for key, entry in zip(value, entries, strict=True)
+        }
+    elif origin is tuple and isinstance(value, list):
+        entry_kind = get_args(kind)[0]
+        entries = [
+            _convert(each, entry_kind, f'{path}[{index}]')
+            for index, each in enumerate(value)
+        ]
+        collected = tuple(each[0] for each in entries)
+    else:
+        return _convert_plain(value, kind, path)
+    return collected, [fault for each in entries for fault in each[1]]
+
+
+def _convert_plain(value: Any, kind: Any, path: str) -> tuple[Any, list[Fault]]:
+    try:
+        return msgspec.convert(value, kind), []
+    except msgspec.ValidationError:
+        allowed = describe_type(kind)
+    return None, [Fault(path, f'{value!r} is refused; allowed: {allowed}')]
