--- a/apricottally/driver.py
+++ b/apricottally/driver.py
@@ -22,7 +22,7 @@
     def __init__(
         self,
         state: NodeState,
-        actions: Mapping[type, Callable[[Any], None]],
+        actions: Mapping[type, Callable[[Any], object]],
     ) -> None:
         self.state = state
         self.actions = actions
--- a/apricottally/shutdown.py
+++ b/apricottally/shutdown.py
@@ -13,10 +13,10 @@
 import msgspec
 
 from apricottally import membership, messages, occupancy
+from apricottally.admitted import Occupancy
 from apricottally.effects import Effect, Exit, SendPeer, WriteLog
 from apricottally.events import ShutdownRequested
 from apricottally.messages import OccupancyReport
-from apricottally.occupancy import Occupancy
 
 if TYPE_CHECKING:
     from apricottally.state import NodeState
