--- a/apricottally/model.py
+++ b/apricottally/model.py
@@ -208,6 +208,11 @@
     return msgspec.json.encode(document)
 
 
+def encode_json(body: Machine | BackendSet) -> bytes:
+    """Encode a body without an envelope."""
+    return msgspec.json.encode(body)
+
+
 def _list_template_faults(template: Template) -> list[ModelError]:
     faults = []
     if not template.service:
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,51 @@
+"""Run the program under seeded faults: `python -m soak --seed N --steps N`.
+
+A step is a tenth of a second of simulated time. The exit status is 1 if a
+promise broke; the line printed then names seed and step, and the same seed
+repeats it.
+"""
+
+import argparse
+import sys
+
+from soak.faults import BY_NAME
+from soak.runs import Run, RunError
+
+STEP_S = 0.1
+
+
+def main() -> None:
+    """Run one seed, or several in a row."""
+    parser = argparse.ArgumentParser(prog='soak', description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1, help='seeds in a row')
+    parser.add_argument('--steps', type=int, default=600)
+    parser.add_argument(
+        '--faults',
+        nargs='*',
+        choices=sorted(BY_NAME),
+        default=sorted(BY_NAME),
+    )
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        failed += not play(seed, options.faults, options.steps)
+    print(f'{options.seeds - failed} passed, {failed} failed')
+    sys.exit(1 if failed else 0)
+
+
+def play(seed: int, names: list[str], steps: int) -> bool:
+    """Run one seed and print what it showed."""
+    run = Run(seed, names)
+    try:
+        findings = run.play(steps * STEP_S)
+    except RunError as error:
+        print(f'FAILED {error}', flush=True)
+        return False
+    shown = {name: count for name, count in findings.tally.items() if count}
+    print(f'seed {seed}: {shown}', flush=True)
+    return True
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,296 @@
+"""Nodes, backends and callers joined by a fake fabric over simulated time."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from apricottally import addresses, dissemination, gue, model
+from apricottally.addresses import PACKET_PORT, Endpoint
+from apricottally.effects import Effect, Exit, PollLoad, SendPacket
+from apricottally.events import (
+    LoadReported,
+    PacketReceived,
+    Record,
+    ShutdownRequested,
+)
+from apricottally.model import Machine, MachineState
+from soak.deployment import (
+    BACKENDS,
+    CALLER_IP,
+    FLOOD_IP,
+    TEMPLATES,
+    WORKSPACES,
+    ZONES,
+    BackendPlan,
+    plan_flood,
+    plan_works,
+)
+from standins.client import Client, ClientConfig
+from standins.clientwork import Work
+from standins.mesh import Faults, Mesh, Node
+from standins.server import Server
+
+FABRIC: Endpoint = ('10.254.0.1', PACKET_PORT)
+GATEWAY: Endpoint = ('10.255.0.1', PACKET_PORT)
+# One way, between any two machines.
+MIN_DELAY_S = 0.0005
+MAX_DELAY_S = 0.003
+STEP_S = 0.01
+# How often the fabric asks the nodes whether they are ready.
+FABRIC_POLL_S = 0.5
+# How long the fabric goes on sending to a node that does not answer.
+FABRIC_LAG_S = 1.5
+LOAD_DELAY_S = 0.2
+# Time until nodes know each other, the records and the backends.
+START_S = 16.0
+
+
+class PacketMesh(Mesh):
+    """A mesh that gives packets and polls to the world around it."""
+
+    def __init__(self, seed: int, world: 'World') -> None:
+        self._world = world
+        self.exits: dict[str, int] = {}
+        super().__init__(seed, ZONES, Faults())
+
+    def _carry_out(self, name: str, node: Node, effect: Effect) -> None:
+        if isinstance(effect, SendPacket):
+            self._world.send_from_node(name, effect)
+        elif isinstance(effect, PollLoad):
+            self._world.poll(name, node, effect)
+        elif isinstance(effect, Exit):
+            self.exits[name] = effect.status
+            self.nodes.pop(name, None)
+            self.platform.watchers.pop(name, None)
+        else:
+            super()._carry_out(name, node, effect)
+
+
+@dataclass(slots=True)
+class Host:
+    """A backend server with its plan."""
+
+    plan: BackendPlan
+    server: Server
+
+
+@dataclass(slots=True)
+class Fabric:
+    """The nodes that get packets, and when each answered last."""
+
+    nodes: list[str] = field(default_factory=list)
+    answered: dict[str, float] = field(default_factory=dict)
+
+
+class World:
+    """One deployment; `seed` decides everything."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.mesh = PacketMesh(seed, self)
+        self.fabric = Fabric()
+        self.hosts: dict[str, Host] = {}
+        self.clients: dict[str, Client] = {}
+        self._nodes_by_endpoint = {
+            (config.ip, config.packet_port): name
+            for name, config in self.mesh.configs.items()
+        }
+        for plan in BACKENDS:
+            self.start_backend(plan)
+            self.list_machine(plan, MachineState.live)
+        self._publish_all()
+        self.mesh.timeline.plan(STEP_S, self._step)
+        self.mesh.timeline.plan(FABRIC_POLL_S, self._poll_nodes)
+
+    @property
+    def now(self) -> float:
+        """Simulated monotonic time in seconds."""
+        return self.mesh.timeline.now
+
+    def run(self, duration_s: float) -> None:
+        """Run everything for some seconds."""
+        self.mesh.run(duration_s)
+
+    def start_callers(self) -> None:
+        """Start the steady work."""
+        self._start_client(CALLER_IP, plan_works())
+
+    def start_flood(self) -> None:
+        """Start a rush of the least urgent work, once."""
+        if FLOOD_IP not in self.clients:
+            self._start_client(FLOOD_IP, plan_flood())
+
+    def stop_flood(self) -> None:
+        """End the rush."""
+        client = self.clients.get(FLOOD_IP)
+        if client is not None:
+            client.stop(self.now)
+
+    def start_backend(self, plan: BackendPlan) -> None:
+        """Start a backend, or one that crashed without anything it knew."""
+        rng = random.Random(self.rng.getrandbits(64))
+        server = Server(plan.config, rng, self.now)
+        former = self.hosts.get(plan.config.ip)
+        if former is not None:
+            server.journal = former.server.journal
+        self.hosts[plan.config.ip] = Host(plan, server)
+
+    def list_machine(self, plan: BackendPlan, state: MachineState) -> None:
+        """Put a backend on the platform's list."""
+        config = plan.config
+        machine = Machine(config.service, plan.zone, config.ip, state)
+        self.mesh.platform.write(
+            f'{model.MACHINE_PREFIX}{config.name}',
+            model.encode_json(machine),
+        )
+
+    def publish(
+        self, key: str, body: model.Template | model.Workspace
+    ) -> Record:
+        """Store an operators' change; its acceptance is certain here."""
+        op = f'{self.rng.getrandbits(64):016x}'
+        return self.mesh.platform.write(
+            key,
+            model.encode_document(op, 'soak', body),
+        )
+
+    def stop_node(self, name: str) -> None:
+        """Ask a node for a graceful shutdown."""
+        node = self.mesh.nodes.get(name)
+        if node is not None:
+            self.mesh.feed(name, node, ShutdownRequested(self.now))
+
+    def send_from_node(self, name: str, effect: SendPacket) -> None:
+        """Deliver what a node sends: to callers, nodes or backends."""
+        if effect.dest == GATEWAY:
+            self._plan(lambda: self._deliver_to_caller(effect.payload))
+            return
+        target = self._nodes_by_endpoint.get(effect.dest)
+        zone = self.mesh.configs[name].zone
+        if target is not None:
+            if self.are_joined(zone, self.mesh.configs[target].zone):
+                config = self.mesh.configs[name]
+                source = config.ip, config.packet_port
+                self._plan_for_node(target, source, effect.payload)
+            return
+        host = self.hosts.get(effect.dest[0])
+        if host is not None and self.are_joined(zone, host.plan.zone):
+            inner = effect.payload[gue.PLAIN_LENGTH :]
+            self._plan(lambda: self._deliver_to_backend(host, inner))
+
+    def poll(self, name: str, node: Node, effect: PollLoad) -> None:
+        """Answer polls of backends' load."""
+        zone = self.mesh.configs[name].zone
+        for ip in effect.ips:
+            host = self.hosts.get(ip)
+            report = None
+            if host is not None and self.are_joined(zone, host.plan.zone):
+                report = host.server.capacity.report(self.now)
+            due = self.now + LOAD_DELAY_S
+            event = LoadReported(due, ip, report)
+            self.mesh.timeline.plan(
+                LOAD_DELAY_S,
+                _bind_feed(self.mesh, name, node, event),
+            )
+
+    def are_joined(self, zone: str, other: str) -> bool:
+        """Tell whether packets pass between two zones."""
+        return all((zone in cut) == (other in cut) for cut in self.mesh.cuts)
+
+    def _publish_all(self) -> None:
+        for name, template in TEMPLATES.items():
+            self.publish(f'{model.TEMPLATE_PREFIX}{name}', template)
+        for name, workspace in WORKSPACES.items():
+            self.publish(f'{model.WORKSPACE_PREFIX}{name}', workspace)
+
+    def _start_client(self, ip: str, works: tuple[Work, ...]) -> None:
+        rng = random.Random(self.rng.getrandbits(64))
+        config = ClientConfig(f'caller-{ip}', ip, works)
+        self.clients[ip] = Client(config, rng, self.now)
+
+    def _step(self) -> None:
+        """Run the timers of callers and backends."""
+        now = self.now
+        for client in self.clients.values():
+            if client.deadline <= now:
+                client.tick(now)
+            self._flush(client, FABRIC)
+        for ip, host in self.hosts.items():
+            if host.server.deadline <= now:
+                host.server.tick(now)
+            self._flush(host.server, (ip, PACKET_PORT))
+        self.mesh.timeline.plan(STEP_S, self._step)
+
+    def _flush(self, machine: Client | Server, source: Endpoint) -> None:
+        """Spray what a machine sends over the nodes, each packet alone."""
+        for inner in machine.stack.take_packets():
+            if self.fabric.nodes:
+                target = self.rng.choice(self.fabric.nodes)
+                self._plan_for_node(target, source, gue.encode(inner))
+
+    def _deliver_to_caller(self, datagram: bytes) -> None:
+        inner = datagram[gue.PLAIN_LENGTH :]
+        ip = addresses.format_ip(int.from_bytes(inner[16:20], 'big'))
+        client = self.clients.get(ip)
+        if client is not None:
+            client.receive(self.now, inner)
+            self._flush(client, FABRIC)
+
+    def _deliver_to_backend(self, host: Host, inner: bytes) -> None:
+        ip = host.plan.config.ip
+        # A backend that crashed meanwhile has a new server.
+        server = self.hosts[ip].server
+        server.receive(self.now, inner)
+        self._flush(server, (ip, PACKET_PORT))
+
+    def _plan_for_node(
+        self,
+        target: str,
+        source: Endpoint,
+        datagram: bytes,
+    ) -> None:
+        self._plan(lambda: self._deliver_to_node(target, source, datagram))
+
+    def _deliver_to_node(
+        self,
+        target: str,
+        source: Endpoint,
+        datagram: bytes,
+    ) -> None:
+        node = self.mesh.nodes.get(target)
+        if node is not None:
+            event = PacketReceived(self.now, source, datagram)
+            self.mesh.feed(target, node, event)
+
+    def _plan(self, action: Callable[[], None]) -> None:
+        delay = self.rng.uniform(MIN_DELAY_S, MAX_DELAY_S)
+        self.mesh.timeline.plan(delay, action)
+
+    def _poll_nodes(self) -> None:
+        """Update the fabric's list, which lags behind deaths."""
+        for name, node in self.mesh.nodes.items():
+            if not node.paused:
+                self.fabric.answered[name] = self.now
+        self.fabric.nodes = [
+            name for name in self.mesh.configs if self._is_listed(name)
+        ]
+        self.mesh.timeline.plan(FABRIC_POLL_S, self._poll_nodes)
+
+    def _is_listed(self, name: str) -> bool:
+        answered = self.fabric.answered.get(name, -FABRIC_LAG_S)
+        if self.now - answered >= FABRIC_LAG_S:
+            return False
+        node = self.mesh.nodes.get(name)
+        if node is None or node.paused:
+            return name in self.fabric.nodes
+        state = node.state
+        return state.shutdown.since is None and dissemination.is_ready(state)
+
+
+def _bind_feed(
+    mesh: Mesh,
+    name: str,
+    node: Node,
+    event: LoadReported,
+) -> Callable[[], None]:
+    return lambda: mesh.feed(name, node, event)
