--- a/apricottally/attempts.py
+++ b/apricottally/attempts.py
@@ -93,7 +93,11 @@
     flow: Flow,
     reason: str,
 ) -> list[Effect] | None:
-    """Give the flow's backend up for another; None if that is not allowed."""
+    """Give the flow's backend up for another; None if that is not allowed.
+
+    The backend given up is reset only when its SYN-ACK comes late. An earlier
+    reset may hit a flow that another owner has established there meanwhile.
+    """
     tries = len(flow.tried) + 1
     start = now + retries.draw_backoff(tries, state.rng)
     obstacle = retries.find_obstacle(tries, start, flow.deadline)
@@ -106,7 +110,6 @@
     if obstacle:
         state.counters.add('retry_refused', obstacle)
         return None
-    effects = _cancel(flow) if reason == 'no_answer' else []
     give_up(flow)
     flow.retry_reason = reason
     flow.phase = Phase.retrying
@@ -114,7 +117,7 @@
         start = flow.deadline
         flow.owned.retrying.append(flow)
     state.admissions.timers.set(flow, start)
-    return effects
+    return []
 
 
 def wake(state: NodeState, now: float, flow: Flow) -> list[Effect]:
@@ -263,9 +266,8 @@
     if now < last:
         state.admissions.timers.set(flow, last)
         return []
-    effects = _cancel(flow)
     give_up(flow)
-    return effects + refuse_flow(state, now, flow, 'deadline')
+    return refuse_flow(state, now, flow, 'deadline')
 
 
 def _wake_retry(state: NodeState, now: float, flow: Flow) -> list[Effect]:
@@ -286,15 +288,6 @@
     return any(load.backend.number not in tried for load in flow.owned.active)
 
 
-def _cancel(flow: Flow) -> list[Effect]:
-    """Reset the backend that is given up, so that it drops the flow."""
-    if flow.load is None:
-        return []
-    endpoint = flow.load.backend.ip, PACKET_PORT
-    answer = packet.reset_receiver(flow.segment)
-    return [SendPacket(endpoint, gue.encode(answer))]
-
-
 def _note(
     state: NodeState,
     now: float,
--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -200,7 +200,9 @@
     if not segment.timestamps:
         return admission.refuse(state, segment, 'no_timestamps')
     key = packet.caller_key(event.payload, segment.start)
-    shard = shards.choose_shard(route.service.shards, key)
+    service = route.service
+    reachable = state.owners.list_reachable(service.name, service.shards)
+    shard = shards.choose_shard(reachable, key)
     if shard is None:
         return admission.refuse(state, segment, 'no_backend')
     if _is_for_owner(state, shard, handover):
--- a/apricottally/members.py
+++ b/apricottally/members.py
@@ -38,23 +38,28 @@
         return self.ip, self.peer_port
 
 
+_ALIVE = frozenset((MemberState.alive,))
 _ELIGIBLE = frozenset((MemberState.alive, MemberState.suspect))
 
 
 class MemberTable:
-    """Members by name, and the eligible ones by zone.
+    """Members by name, and those in use by zone.
 
-    `version` grows whenever the eligible set changes, so that choices made
-    from it can be kept until then.
+    Eligible members are alive or suspect: they get messages. Owners are
+    chosen from those alive only, since a suspect that is dead would swallow
+    every new flow until the suspicion lapses. `version` grows whenever one
+    of these sets changes, so that choices made from it can be kept until
+    then.
     """
 
-    __slots__ = ('_zones', 'members', 'own_name', 'version')
+    __slots__ = ('_alive', '_eligible', 'members', 'own_name', 'version')
 
     def __init__(self, own: Member) -> None:
         self.own_name = own.name
         self.members: dict[str, Member] = {own.name: own}
         self.version = 1
-        self._zones: dict[str, tuple[Member, ...]] = {}
+        self._alive: dict[str, tuple[Member, ...]] = {}
+        self._eligible: dict[str, tuple[Member, ...]] = {}
 
     @property
     def own(self) -> Member:
@@ -74,23 +79,37 @@
             self._invalidate()
 
     def eligible(self, zone: str = '') -> tuple[Member, ...]:
+        """Return the members of a zone (all zones if empty) to talk to."""
+        return self._list(self._eligible, _ELIGIBLE, zone)
+
+    def alive(self, zone: str = '') -> tuple[Member, ...]:
         """Return the members of a zone (all zones if empty) that may own."""
-        cached = self._zones.get(zone)
-        if cached is None:
-            cached = tuple(
+        return self._list(self._alive, _ALIVE, zone)
+
+    def _list(
+        self,
+        cache: dict[str, tuple[Member, ...]],
+        states: frozenset[MemberState],
+        zone: str,
+    ) -> tuple[Member, ...]:
+        listed = cache.get(zone)
+        if listed is None:
+            listed = tuple(
                 member
                 for member in self.members.values()
-                if member.state in _ELIGIBLE and zone in {'', member.zone}
+                if member.state in states and zone in {'', member.zone}
             )
-            self._zones[zone] = cached
-        return cached
+            cache[zone] = listed
+        return listed
 
     def _invalidate(self) -> None:
         self.version += 1
-        self._zones.clear()
+        self._alive.clear()
+        self._eligible.clear()
 
 
-def _rank(member: Member) -> tuple[bool, str, Endpoint, Endpoint]:
+def _rank(member: Member) -> tuple[bool, bool, str, Endpoint, Endpoint]:
     """Return what decides whether choices made from the table still hold."""
+    alive = member.state in _ALIVE
     eligible = member.state in _ELIGIBLE
-    return eligible, member.zone, member.packet, member.peer
+    return alive, eligible, member.zone, member.packet, member.peer
--- a/apricottally/shards.py
+++ b/apricottally/shards.py
@@ -71,15 +71,24 @@
     return ordered[:count]
 
 
+@dataclass(frozen=True, slots=True)
+class Reachable:
+    """A service's shards, and those of them that can be reached."""
+
+    known: tuple[Shard, ...]
+    reachable: tuple[Shard, ...]
+
+
 class Owners:
     """Owners of shards and trackers of flows, cached while members stand."""
 
-    __slots__ = ('_members', '_owners', '_trackers', '_version')
+    __slots__ = ('_members', '_owners', '_reachable', '_trackers', '_version')
 
     def __init__(self, members: MemberTable) -> None:
         self._members = members
         self._owners: dict[str, Member] = {}
         self._trackers: dict[int, Member] = {}
+        self._reachable: dict[str, Reachable] = {}
         self._version = 0
 
     def find(self, shard_name: str, zone: str) -> Member:
@@ -102,21 +111,42 @@
         tracker = self._trackers.get(bucket)
         if tracker is None:
             own = self._members.own
-            candidates = self._members.eligible(own.zone)
+            candidates = self._members.alive(own.zone)
             subject = bucket.to_bytes(2, 'big')
             tracker = choose_member(candidates, subject) or own
             self._trackers[bucket] = tracker
         return tracker
 
+    def list_reachable(
+        self,
+        service: str,
+        shards: tuple[Shard, ...],
+    ) -> tuple[Shard, ...]:
+        """Return the shards whose zone has a live node; all if none has.
+
+        A zone that is cut off keeps its backends to itself: new flows go to
+        the shards that this side can reach.
+        """
+        self._forget_old()
+        kept = self._reachable.get(service)
+        if kept is None or kept.known is not shards:
+            reachable = tuple(
+                shard for shard in shards if self._members.alive(shard.zone)
+            )
+            kept = Reachable(shards, reachable or shards)
+            self._reachable[service] = kept
+        return kept.reachable
+
     def _forget_old(self) -> None:
         if self._version != self._members.version:
             self._owners.clear()
             self._trackers.clear()
+            self._reachable.clear()
             self._version = self._members.version
 
     def _choose(self, shard_name: str, zone: str) -> Member:
         subject = shard_name.encode()
-        candidates = self._members.eligible(zone) or self._members.eligible()
+        candidates = self._members.alive(zone) or self._members.alive()
         return choose_member(candidates, subject) or self._members.own
 
 
