--- a/apricottally/balance.py
+++ b/apricottally/balance.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import xxhash
 
@@ -36,6 +36,8 @@
 MAX_CREDIT = 2.0
 _WHOLE_CREDIT = 1 - 1e-9
 _LONG_AGO = float('-inf')
+# State in a report of a backend that takes no new work.
+DRAINING = 'draining'
 
 
 @dataclass(slots=True, eq=False)
@@ -45,7 +47,8 @@
     `busy` counts slots and `open` connections that flows admitted here hold.
     `foreign` is what the last report claims beyond that. `started` and
     `ended` count slot flows since the last poll; `credit` is the number of
-    flows that a backend in slow start may get now.
+    flows that a backend in slow start may get now. Before `special_until`
+    more than the two counts decides whether the backend has room.
     """
 
     backend: Backend
@@ -58,10 +61,23 @@
     report: LoadReport | None = None
     reported_at: float = _LONG_AGO
     foreign: int = 0
+    foreign_open: int = 0
     claimed_since: float = _LONG_AGO
     strikes: int = 0
     struck_at: float = _LONG_AGO
     distrusted_until: float = _LONG_AGO
+    special_until: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.special_until = self.known_since + slowstart.FULL_AGE_S
+        self.update(self.backend)
+
+    def update(self, backend: Backend) -> None:
+        """Take the backend's newest record."""
+        self.backend = backend
+        if not backend.slots or not backend.connections:
+            # Nothing to divide by.
+            self.special_until = float('inf')
 
     def take(self, holds: Holding) -> None:
         """Count a flow that starts."""
@@ -97,7 +113,14 @@
     """
     load.report = report
     load.reported_at = now
-    foreign = report.busy - load.busy - load.ended
+    foreign_open = report.open - load.open - load.busy
+    load.foreign_open = foreign_open if foreign_open > DRIFT_TOLERANCE else 0
+    _take_claim(load, report.busy - load.busy - load.ended, now)
+    if load.foreign or load.foreign_open or report.state == DRAINING:
+        load.special_until = max(load.special_until, now + REPORT_FRESH_S)
+
+
+def _take_claim(load: BackendLoad, foreign: int, now: float) -> None:
     if foreign <= 0 or now < load.distrusted_until:
         load.foreign = 0
         load.claimed_since = _LONG_AGO
@@ -211,6 +234,39 @@
     excluded: tuple[int, ...] = (),
 ) -> BackendLoad | None:
     """Return the least loaded backend with room for the flow."""
+    is_special = takeover or any(now < load.special_until for load in loads)
+    if is_special or excluded:
+        return _choose_special(
+            loads, holds, key, now, takeover=takeover, excluded=excluded
+        )
+    if holds is Holding.slot:
+        scores = [load.busy / load.backend.slots for load in loads]
+    else:
+        scores = [load.open / load.backend.connections for load in loads]
+    least = min(scores, default=1)
+    if least >= 1:
+        return None
+    ties = [
+        load
+        for load, score in zip(loads, scores, strict=True)
+        if score == least
+    ]
+    return min(
+        ties,
+        key=lambda load: xxhash.xxh3_64_intdigest(key, load.backend.number),
+    )
+
+
+def _choose_special(
+    loads: Sequence[BackendLoad],
+    holds: Holding,
+    key: bytes,
+    now: float,
+    *,
+    takeover: bool,
+    excluded: tuple[int, ...],
+) -> BackendLoad | None:
+    """Choose among backends of which some are new, draining or in doubt."""
     avoided = _list_draining(loads, now).union(excluded)
     limited = not all(_is_ramping(load, now) for load in loads)
     usable = [
@@ -239,9 +295,9 @@
     now: float,
 ) -> None:
     """Give each backend in slow start its part of an admitted flow."""
-    ramping = [load for load in loads if _is_ramping(load, now)]
-    if not ramping:
+    if not any(now < load.special_until for load in loads):
         return
+    ramping = [load for load in loads if _is_ramping(load, now)]
     weights = {
         load.backend.number: _weigh(load, now) * load.backend.slots
         for load in loads
@@ -285,8 +341,7 @@
     limit = load.backend.connections
     if load.report is None or not load.is_fresh(now):
         return limit
-    foreign = max(load.report.open - load.open - load.busy, 0)
-    return limit - min(foreign, limit // 2)
+    return limit - min(load.foreign_open, limit // 2)
 
 
 def _count_reported(load: BackendLoad, now: float, limit: int) -> int:
@@ -309,7 +364,7 @@
         load.backend.number
         for load in loads
         if load.report is not None
-        and load.report.state == 'draining'
+        and load.report.state == DRAINING
         and load.is_fresh(now)
     )
     if 2 * len(draining) > len(loads):
--- a/apricottally/ownership.py
+++ b/apricottally/ownership.py
@@ -190,7 +190,7 @@
     name = owned.service.name, backend.number
     held = admissions.loads.get(name)
     if held is not None and held.backend.ip == backend.ip:
-        held.backend = backend
+        held.update(backend)
         return held
     known_since = now
     if is_new:
--- /dev/null
+++ b/bench/flood.py
@@ -0,0 +1,224 @@
+"""Floods, imbalance and retries: the core beside simple policies."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from bench import scenarios
+from bench.baselines import BASELINES
+from bench.fakes import DEPLOYMENTS, Costs, Deployment, Source
+from bench.rows import Row
+from bench.scenarios import CORE, RUN_S, WARM_S, Plan, rate_of
+
+COMMAND = 'python -m bench flood'
+POLICIES = (CORE, *BASELINES)
+WORKSPACES = 8
+JOINS = 12
+# A node slow enough for a tenfold rush to fill its CPU.
+SLOW_NODE = Costs(4e-3, 1.4e-3, 1.2e-3, 60)
+
+LIES: dict[str, Callable[[int, int], int]] = {
+    'frozen': lambda number, busy: 2 if number == 0 else busy,
+    'zero': lambda number, busy: 0 if number == 0 else busy,
+    'inverted': lambda number, busy: 2 - min(busy, 2) if number == 0 else busy,
+}
+
+
+def measure(seed: int) -> list[Row]:
+    """Measure every target for both deployments."""
+    rows = []
+    for deployment in DEPLOYMENTS:
+        for measurement in MEASUREMENTS:
+            rows.extend(measurement(deployment, seed))
+    return rows
+
+
+def measure_background(deployment: Deployment, seed: int) -> list[Row]:
+    """Measure what urgent work keeps in a flood of the least urgent."""
+    sources = _spread('job', rate_of(deployment, 0, 0.4))
+    sheets = rate_of(deployment, 0, 0.2)
+    calm = Plan(deployment, (*sources, *_spread('sheet', sheets)))
+    flooded = Plan(deployment, (*sources, *_spread('sheet', 10 * sheets)))
+    figures = {}
+    for policy in POLICIES:
+        before = scenarios.run(calm, policy, seed).goodput('job')
+        after = scenarios.run(flooded, policy, seed).goodput('job')
+        figures[policy] = f'{after / before:.1%}'
+    name = 'urgent goodput kept, background x10'
+    return [_build_row(deployment, name, seed, figures, '99%')]
+
+
+def measure_workspaces(deployment: Deployment, seed: int) -> list[Row]:
+    """Measure what others keep when one workspace sends ten times more.
+
+    The last workspace is small. None of the others sends more than its share.
+    """
+    rate = rate_of(deployment, 0, 0.1)
+    sources = [Source('job', 0, 10 * rate, RUN_S)]
+    for workspace in range(1, WORKSPACES):
+        part = 1 if workspace < WORKSPACES - 1 else 0.2
+        sources.append(Source('job', workspace, rate * part, RUN_S))
+    plan = Plan(deployment, tuple(sources), workspaces=WORKSPACES)
+    worst = {}
+    smallest = {}
+    for policy in POLICIES:
+        outcome = scenarios.run(plan, policy, seed)
+        kept = [outcome.goodput('job', one) for one in range(1, WORKSPACES)]
+        worst[policy] = f'{min(kept):.1%}'
+        smallest[policy] = f'{kept[-1]:.1%}'
+    name = 'least share kept, one workspace x10'
+    small = 'share kept by the smallest, one workspace x10'
+    return [
+        _build_row(deployment, name, seed, worst, '95%'),
+        _build_row(deployment, small, seed, smallest, '95%'),
+    ]
+
+
+def measure_urgent(deployment: Deployment, seed: int) -> list[Row]:
+    """Measure the useful work in an urgent flood of three times capacity."""
+    plan = Plan(deployment, _spread('job', rate_of(deployment, 0, 3)))
+    figures = {}
+    for policy in POLICIES:
+        outcome = scenarios.run(plan, policy, seed)
+        good = sum(
+            request.run_s for request in outcome.requests if request.is_good
+        )
+        slots = 2 * tuple(deployment.services.values())[0]
+        figures[policy] = f'{good / plan.measured_s / slots:.1%}'
+    name = 'goodput of capacity, urgent x3 of capacity'
+    return [_build_row(deployment, name, seed, figures, '90%')]
+
+
+def measure_rush(deployment: Deployment, seed: int) -> list[Row]:
+    """Measure the p99 wait of holds behind a tenfold rush of downloads.
+
+    The rush goes to the other service and shares the nodes' CPU, or it goes
+    to the same service.
+    """
+    holds = _spread('job', rate_of(deployment, 0, 0.4))
+    rows = []
+    for template, service, costs in (
+        ('rush', 1, SLOW_NODE),
+        ('sheet', 0, Costs()),
+    ):
+        rate = rate_of(deployment, service, 0.5 if service else 0.2)
+        sources = (*holds, *_spread(template, rate))
+        calm = Plan(deployment, sources, costs=costs)
+        more = _spread(template, 9 * rate)
+        rushed = Plan(deployment, sources, more, costs=costs)
+        figures = {}
+        for policy in POLICIES:
+            before = scenarios.run(calm, policy, seed).wait_p99('job')
+            after = scenarios.run(rushed, policy, seed).wait_p99('job')
+            figures[policy] = f'{after / before:.2f}x ({after * 1000:.0f} ms)'
+        place = 'the other service' if service else 'the same service'
+        name = f'p99 wait of holds, rush x10 on {place}'
+        rows.append(_build_row(deployment, name, seed, figures, '2x'))
+    return rows
+
+
+def measure_steady(deployment: Deployment, seed: int) -> list[Row]:
+    """Measure the imbalance at steady load, and with misleading reports."""
+    rows = []
+    sources = _spread('job', rate_of(deployment, 0, 0.6))
+    plan = Plan(deployment, sources, measured_s=80)
+    figures = {
+        policy: f'{_find_imbalance(plan, policy, seed):.3f}'
+        for policy in POLICIES
+    }
+    name = 'busiest backend over mean, steady'
+    rows.append(_build_row(deployment, name, seed, figures, '1.10'))
+    for lie, report in LIES.items():
+        lying = Plan(deployment, sources, measured_s=80, report=report)
+        figures = {
+            policy: f'{_find_imbalance(lying, policy, seed):.3f}'
+            for policy in (CORE, 'by report')
+        }
+        name = f'busiest backend over mean, one report {lie}'
+        rows.append(_build_row(deployment, name, seed, figures, '1.10'))
+    return rows
+
+
+def measure_join(deployment: Deployment, seed: int) -> list[Row]:
+    """Measure the imbalance around 5 s after a join, over several joins."""
+    plan = Plan(
+        deployment,
+        _spread('job', rate_of(deployment, 0, 0.6)),
+        measured_s=7,
+        joins=True,
+    )
+    figures = {}
+    for policy in POLICIES:
+        starts: Counter[int] = Counter()
+        for join in range(JOINS):
+            outcome = scenarios.run(plan, policy, seed + join)
+            begin = WARM_S + 4
+            starts.update(scenarios.count_starts(outcome, begin, begin + 2))
+        figures[policy] = f'{_divide_by_mean(starts.values()):.3f}'
+    name = 'busiest backend over mean, 4 to 6 s after a join'
+    return [_build_row(deployment, name, seed, figures, '1.25')]
+
+
+def measure_shedding(deployment: Deployment, seed: int) -> list[Row]:
+    """Measure how often a fleet is asked that sheds everything."""
+    sources = _spread('job', rate_of(deployment, 0, 0.6))
+    plan = Plan(deployment, sources, refuses=True)
+    figures = {}
+    for policy in POLICIES:
+        outcome = scenarios.run(plan, policy, seed)
+        figures[policy] = f'{outcome.asked() / outcome.offered:.3f}'
+    name = 'asked over offered, all shed'
+    return [_build_row(deployment, name, seed, figures, '1.1')]
+
+
+MEASUREMENTS: tuple[Callable[[Deployment, int], list[Row]], ...] = (
+    measure_background,
+    measure_workspaces,
+    measure_urgent,
+    measure_rush,
+    measure_steady,
+    measure_join,
+    measure_shedding,
+)
+
+
+def _spread(template: str, rate: float) -> tuple[Source, ...]:
+    """Return sources of four workspaces with one rate in all."""
+    return tuple(
+        Source(template, workspace, rate / 4, RUN_S) for workspace in range(4)
+    )
+
+
+def _find_imbalance(plan: Plan, policy: str, seed: int) -> float:
+    outcome = scenarios.run(plan, policy, seed)
+    end = WARM_S + plan.measured_s
+    starts = scenarios.count_starts(outcome, WARM_S, end)
+    return _divide_by_mean(starts.values())
+
+
+def _divide_by_mean(counts: Iterable[int]) -> float:
+    listed = list(counts)
+    return max(listed) * len(listed) / sum(listed)
+
+
+def _build_row(
+    deployment: Deployment,
+    name: str,
+    seed: int,
+    figures: dict[str, str],
+    target: str,
+) -> Row:
+    baselines = ', '.join(
+        f'{policy} {figure}'
+        for policy, figure in figures.items()
+        if policy != CORE
+    )
+    return Row(
+        f'{deployment.name}: {name}',
+        COMMAND,
+        seed,
+        figures[CORE],
+        target,
+        baselines,
+    )
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -152,7 +152,7 @@
 def test_slow_start() -> None:
     """Guards against a cold backend that gets a full share at once."""
     loads = build_loads(4)
-    loads[3].known_since = 0
+    loads[3] = BackendLoad(loads[3].backend, 0)
     shares = []
     for second in range(14):
         served: Counter[int] = Counter()
