Fence an owner after a pause; run long seeded runs under faults

Cause: the first long runs (soak) found two faults. New flows also went to shards of a zone that was cut off. Conclusion: what an owner knew before a pause must not decide anything.

--- a/apricottally/admission.py
+++ b/apricottally/admission.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally import attempts, gue, ownership, packet
+from apricottally import attempts, gue, leaks, ownership, packet
 from apricottally.attempts import LINGER_S
 from apricottally.balance import correct_drift, note_accepted, note_shed
 from apricottally.balance import take_report as note_report
@@ -33,6 +33,7 @@
     datagram: bytes,
 ) -> list[Effect]:
     """Admit, queue or refuse a flow whose first packet reached its owner."""
+    ownership.fence(state, now)
     admissions = state.admissions
     key = packet.caller_key(datagram, segment.start)
     known = admissions.flows.get(key)
@@ -62,6 +63,7 @@
     datagram: bytes,
 ) -> list[Effect]:
     """Pass a backend's SYN-ACK on if it comes from the chosen backend."""
+    ownership.fence(state, now)
     flow = state.admissions.flows.get(packet.reply_key(datagram, segment.start))
     if not segment.timestamps:
         return _refuse_backend(state, now, route, number, segment, flow)
@@ -88,6 +90,7 @@
     datagram: bytes,
 ) -> list[Effect]:
     """Take a backend's reset of a SYN: nothing ran there."""
+    ownership.fence(state, now)
     key = packet.reply_key(datagram, segment.start)
     flow = state.admissions.flows.get(key)
     if flow is None:
@@ -110,13 +113,22 @@
     now: float,
     route: Route,
     number: int,
+    segment: Segment,
     key: bytes,
+    *,
+    from_backend: bool,
 ) -> list[Effect]:
     """Free what a flow held, once, and use it for those waiting."""
     flow = state.admissions.flows.get(key)
-    if flow is not None and (number in flow.tried or not flow.passed):
+    if flow is not None and number in flow.tried:
         state.counters.add('unused_notice', 'late_close')
         return []
+    if flow is not None and number == flow.number and not flow.passed:
+        if from_backend and not flow.may_continue(segment):
+            state.counters.add('unused_notice', 'late_close')
+            return []
+        # The SYN-ACK went through another node that acts as owner.
+        _establish(state, now, flow)
     return _end(state, now, route, number, key)
 
 
@@ -129,6 +141,7 @@
         state.counters.add('load_polls', 'failed' if load else 'unknown')
         return []
     note_report(load, event.report, event.now)
+    leaks.write_off(state, event.now, load)
     for owned in admissions.shards.values():
         if load in owned.active:
             if owned.adopted:
@@ -139,6 +152,8 @@
 
 def tick(state: NodeState, now: float, wall_s: float) -> list[Effect]:
     """Wake flows whose time has come, and keep ownership up to date."""
+    ownership.fence(state, now)
+    state.admissions.ticked_at = now
     ownership.refresh(state, now, wall_s)
     ownership.settle(state, now)
     state.admissions.closings.expire(now)
--- a/apricottally/closing.py
+++ b/apricottally/closing.py
@@ -125,7 +125,15 @@
 ) -> list[Effect]:
     make_key = packet.reply_key if from_backend else packet.caller_key
     key = make_key(event.payload, segment.start)
-    return admission.note_close(state, event.now, route, number, key)
+    return admission.note_close(
+        state,
+        event.now,
+        route,
+        number,
+        segment,
+        key,
+        from_backend=from_backend,
+    )
 
 
 def _pass_on(dest: Endpoint, inner: bytes) -> Effect:
--- a/apricottally/ownership.py
+++ b/apricottally/ownership.py
@@ -23,6 +23,10 @@
 TAKEOVER_POLL_S = 0.5
 # Time after the last SYN for which a shard that another node owns is kept.
 KEPT_S = 10.0
+# A gap between ticks that shows that this process did not run. It is shorter
+# than the time after which other nodes suspect a node.
+PAUSE_S = 1.0
+_HELD = frozenset((Phase.sent, Phase.established))
 
 
 def find(
@@ -69,6 +73,25 @@
         ]
 
 
+def fence(state: NodeState, now: float) -> None:
+    """Start anew after a time in which this process did not run.
+
+    Other nodes have owned its shards meanwhile: they may have opened the
+    flows that wait here, and ends of flows went to them.
+    """
+    admissions = state.admissions
+    ticked_at = admissions.ticked_at
+    if ticked_at is None or now - ticked_at <= PAUSE_S:
+        return
+    admissions.ticked_at = now
+    state.counters.add('fenced', 'paused')
+    for owned in admissions.shards.values():
+        owned.retrying.clear()
+        for holds in Holding:
+            owned.queues[holds] = FairQueue(QUEUE_LIMIT)
+        _take_over_again(state, now, owned)
+
+
 def poll(state: NodeState, now: float) -> list[Effect]:
     """Ask the owned backends for their load when it is time."""
     admissions = state.admissions
@@ -120,6 +143,7 @@
     shard: Shard,
 ) -> OwnedShard:
     owned = OwnedShard(shard, service, now)
+    owned.is_owner = state.owners.owns(shard.name, shard.zone)
     for holds in Holding:
         owned.queues[holds] = FairQueue(QUEUE_LIMIT)
     state.admissions.shards[shard.name] = owned
@@ -157,8 +181,9 @@
     owned.adopted = False
     state.admissions.next_poll = now
     for flow in _list_flows(state, owned):
-        if flow.phase is Phase.established and flow.load is not None:
+        if flow.phase in _HELD and flow.load is not None:
             flow.load.free(flow.holds)
+        if flow.phase is not Phase.over:
             _drop(state, flow)
 
 
@@ -190,7 +215,7 @@
     name = owned.service.name, backend.number
     held = admissions.loads.get(name)
     if held is not None and held.backend.ip == backend.ip:
-        held.backend = backend
+        held.update(backend)
         return held
     known_since = now
     if is_new:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,9 +27,10 @@
         default=sorted(BY_NAME),
     )
     options = parser.parse_args()
-    failed = 0
-    for seed in range(options.seed, options.seed + options.seeds):
-        failed += not play(seed, options.faults, options.steps)
+    seeds = range(options.seed, options.seed + options.seeds)
+    failed = sum(
+        not play(seed, options.faults, options.steps) for seed in seeds
+    )
     print(f'{options.seeds - failed} passed, {failed} failed')
     sys.exit(1 if failed else 0)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import TypeAlias
 
 from apricottally import model
 from apricottally.model import MachineState, Workspace
 from soak.deployment import BACKENDS, WORKSPACES, ZONES
 from soak.world import World
+from standins.fakeplatform import FakePlatform
 from standins.mesh import Faults
 
 # Ends the fault that its beginning returned it for.
@@ -61,11 +63,7 @@
     """Start an outage of the platform."""
     platform = world.mesh.platform
     platform.stop()
-
-    def end() -> None:
-        platform.down = False
-
-    return end
+    return partial(setattr, platform, 'down', False)
 
 
 def lose_answers(world: World) -> End:
@@ -73,23 +71,14 @@
     platform = world.mesh.platform
     platform.lose_answers = 2
     platform.lose_calls = 1
-
-    def end() -> None:
-        platform.lose_answers = 0
-        platform.lose_calls = 0
-
-    return end
+    return partial(answer_again, platform)
 
 
 def delay_updates(world: World) -> End:
     """Lose, double and delay datagrams between nodes."""
     mesh = world.mesh
     mesh.faults = Faults(loss=0.3, duplication=0.2, max_delay_s=0.5)
-
-    def end() -> None:
-        mesh.faults = Faults()
-
-    return end
+    return partial(setattr, mesh, 'faults', Faults())
 
 
 def drain(world: World) -> End:
@@ -142,7 +131,8 @@
     running = sorted(
         name for name, node in world.mesh.nodes.items() if not node.paused
     )
-    return world.rng.choice(running)
+    name: str = world.rng.choice(running)
+    return name
 
 
 def restart(world: World, name: str) -> None:
@@ -159,5 +149,11 @@
         world.mesh.resume(name)
 
 
+def answer_again(platform: FakePlatform) -> None:
+    """End the loss of calls and answers."""
+    platform.lose_answers = 0
+    platform.lose_calls = 0
+
+
 def finish_nothing() -> None:
     """End a fault that ends by itself."""
--- a/tests/owner.py
+++ b/tests/owner.py
@@ -28,6 +28,7 @@
 
 GATEWAY = '127.9.0.1', 6080
 SYN_ACK = packet.SYN | packet.ACK
+RST_ACK = packet.RST | packet.ACK
 CALLER = addresses.parse_ip('10.1.0.1')
 PORTS = {'hold': 443, 'sheet': 444, 'feed': 445}
 WALL_S = 1_800_000_000
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,9 +8,11 @@
 from apricottally.errors import InvariantError
 from apricottally.events import PacketReceived
 from apricottally.gue import Direction, Handover
+from apricottally.members import MemberState, MemberTable
 from apricottally.model import BackendState
 from apricottally.packet import ACK, FIN, PSH, RST, SYN
 from apricottally.reducer import reduce
+from apricottally.shards import Owners, Shard
 from apricottally.state import NodeState
 from bench import fleet
 
@@ -364,3 +366,20 @@
     )
     with pytest.raises(InvariantError, match='foreign_backend'):
         reduce(node, plain(general))
+
+
+def test_new_flows_avoid_a_zone_without_live_nodes() -> None:
+    """Guards against SYNs sent to backends that this side cannot reach."""
+    alive = fleet.build_member(1, 'a')
+    lost = fleet.build_member(2, 'b')
+    table = MemberTable(alive)
+    table.put(lost)
+    shards = tuple(
+        Shard(f's/{zone}/0', 's', zone, (0,), 2) for zone in ('a', 'b')
+    )
+    owners = Owners(table)
+    assert owners.list_reachable('s', shards) == shards
+    table.put(msgspec.structs.replace(lost, state=MemberState.dead))
+    assert owners.list_reachable('s', shards) == shards[:1]
+    table.put(msgspec.structs.replace(alive, state=MemberState.leaving))
+    assert owners.list_reachable('s', shards) == shards
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,55 @@
+"""Short long-runs: each fault alone, and any two together.
+
+Guard against lost, doubled, crossed and misrouted work, refusals that ran,
+flows broken by planned changes or killed balancers, and views that do not
+agree again.
+"""
+
+import itertools
+
+import pytest
+
+from soak.faults import BY_NAME
+from soak.runs import Run, RunError
+
+ALONE_STEPS = 20.0
+PAIR_STEPS = 12.0
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('fault', sorted(BY_NAME))
+def test_one_fault(fault: str, seed: int) -> None:
+    print('seed', seed)
+    findings = Run(seed, [fault]).play(ALONE_STEPS)
+    assert findings.tally['completed'] > 100
+
+
+@pytest.mark.parametrize(
+    'pair',
+    list(itertools.combinations(sorted(BY_NAME), 2)),
+    ids='+'.join,
+)
+def test_two_faults_together(pair: tuple[str, str]) -> None:
+    seed = sum(map(ord, ''.join(pair)))
+    print('seed', seed)
+    Run(seed, pair).play(PAIR_STEPS)
+
+
+def test_broken_promise_ends_a_run() -> None:
+    """Guards against an audit that never fails: a request is run twice."""
+    run = Run(1, ['change'])
+
+    def run_twice() -> None:
+        for host in run.world.hosts.values():
+            host.server.journal += host.server.journal[-1:]
+
+    run.world.mesh.timeline.plan(40, run_twice)
+    with pytest.raises(RunError, match='ran twice'):
+        run.play(20)
+
+
+@pytest.mark.parametrize('seed', [5, 6])
+def test_same_seed_same_run(seed: int) -> None:
+    """Guards against a failure that its seed does not repeat."""
+    tallies = [Run(seed, ['kill', 'drain']).play(10).tally for _ in range(2)]
+    assert tallies[0] == tallies[1]
