Add the command-line tool's publishing side

Cause: operators need to publish templates and workspaces so that a change is accepted once, and to be told what is known when something fails.

Change: `apricottally` validates, publishes, deletes, shows, compares and lists the history of templates and workspaces. A write is a compare-and-swap with an operation id in the document. After a lost answer the key is read back first; the write is repeated only with the same id against the same version. `--expect` refuses a file made from an older version; `--operation` resolves a run whose outcome was unknown. Faults of a file are reported at once, references (unknown template, endpoint used twice, template in use) are checked before the write.

Conclusion: outage, hang, lost answer, two operators and later writes each end with the documented status, and the number of writes is checked.

--- a/apricottally/addresses.py
+++ b/apricottally/addresses.py
@@ -13,6 +13,7 @@
 MONITORING_PORT = 6083
 # Port on which backend servers report their load.
 LOAD_PORT = 6084
+LAST_PORT = 65535
 
 
 def parse_ip(text: str) -> int:
@@ -23,3 +24,18 @@
 def format_ip(number: int) -> str:
     """Return the dotted text of an IPv4 address."""
     return str(ipaddress.IPv4Address(number))
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Return the endpoint written as `IP:PORT`; raises `ValueError`."""
+    ip, _, port_text = text.rpartition(':')
+    parse_ip(ip)
+    port = int(port_text)
+    if not port_text.isdecimal() or not 0 < port <= LAST_PORT:
+        raise ValueError(f'`{text}` is not IP:PORT')
+    return ip, port
+
+
+def format_endpoint(endpoint: Endpoint) -> str:
+    """Return an endpoint as `IP:PORT`."""
+    return f'{endpoint[0]}:{endpoint[1]}'
--- /dev/null
+++ b/apricottally/commands.py
@@ -0,0 +1,26 @@
+"""The command-line tool `apricottally`."""
+
+import asyncio
+import sys
+from collections.abc import Sequence
+
+from apricottally.commandline import build_parser
+from apricottally.output import CommandError, print_answer, print_failure
+
+
+def main() -> None:
+    """Run the tool and exit with its status."""
+    sys.exit(asyncio.run(run(sys.argv[1:])))
+
+
+async def run(arguments: Sequence[str]) -> int:
+    """Run one command and return its exit status."""
+    options = build_parser().parse_args(arguments)
+    as_json = options.output == 'json'
+    try:
+        answer = await options.command(options)
+    except CommandError as failed:
+        print_failure(failed, as_json=as_json)
+        return failed.status
+    print_answer(answer, as_json=as_json)
+    return int(answer.status)
--- /dev/null
+++ b/apricottally/configcommands.py
@@ -0,0 +1,311 @@
+"""Commands on the configuration kept in the platform."""
+
+import argparse
+import getpass
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from apricottally import model, publishing, references
+from apricottally.errors import (
+    ApricottallyError,
+    ConflictError,
+    ModelError,
+    NotAcceptedError,
+    OutcomeUnknownError,
+    PlatformError,
+    PublishError,
+)
+from apricottally.events import Record
+from apricottally.fields import Fault
+from apricottally.operatorfiles import Body, build_key, load_file
+from apricottally.output import Answer, CommandError, ExitStatus, format_table
+from apricottally.platformcalls import CALL_TIMEOUT_S, Limits
+from apricottally.platformclient import PlatformClient, open_platform
+from apricottally.publishing import Change, Outcome, Publication, Stored
+
+# Calls per `--timeout`: leaves time to read back after a lost answer.
+_CALLS_PER_TIMEOUT = 4
+
+_STATUSES: dict[type[PublishError], ExitStatus] = {
+    NotAcceptedError: ExitStatus.platform_failed,
+    ConflictError: ExitStatus.conflict,
+    OutcomeUnknownError: ExitStatus.outcome_unknown,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """A field that differs; None stands for a field that is not there."""
+
+    path: str
+    stored: object
+    file: object
+
+
+async def validate(options: argparse.Namespace) -> Answer:
+    """Check a file or, with `stored`, everything in the platform."""
+    if options.kind == 'stored':
+        return await _validate_stored(options)
+    if options.name is None or options.file is None:
+        raise CommandError(ExitStatus.usage, 'validate needs a NAME and a FILE')
+    key, body = _load(options)
+    checked = 'fields'
+    if options.platform is not None:
+        async with connected(options) as client:
+            await _check_references(client, key, body)
+        checked = 'fields and references'
+    document = {'key': key, 'checked': checked}
+    return Answer(document, f'{options.file}: {checked} are correct')
+
+
+async def publish(options: argparse.Namespace) -> Answer:
+    """Write a template or workspace from a file."""
+    key, body = _load(options)
+    return await _change(options, key, body)
+
+
+async def delete(options: argparse.Namespace) -> Answer:
+    """Delete a template or workspace."""
+    with translated():
+        key = build_key(options.kind, options.name)
+    return await _change(options, key, None)
+
+
+async def diff(options: argparse.Namespace) -> Answer:
+    """Compare a file with what is stored."""
+    key, body = _load(options)
+    async with connected(options) as client:
+        stored = await publishing.read_stored(client, key)
+    with translated():
+        former = _decode_body(stored, type(body))
+    differences = _list_differences(_flatten(former), _flatten(body))
+    lines = []
+    for each in differences:
+        if each.stored is not None:
+            lines.append(f'- {each.path} = {_to_text(each.stored)}')
+        if each.file is not None:
+            lines.append(f'+ {each.path} = {_to_text(each.file)}')
+    document = {
+        'key': key,
+        'version': stored.version,
+        'differences': differences,
+    }
+    if not differences:
+        same = f'{key} version {stored.version}: no difference'
+        return Answer(document, same)
+    return Answer(document, '\n'.join(lines), ExitStatus.differs)
+
+
+async def history(options: argparse.Namespace) -> Answer:
+    """Show what the platform still knows of a key's writes."""
+    with translated():
+        key = build_key(options.kind, options.name)
+    async with connected(options) as client:
+        stored = await publishing.read_stored(client, key)
+    if not stored.version:
+        raise _explain_absent(key)
+    shown = len(stored.operations)
+    document = {
+        'key': key,
+        'version': stored.version,
+        'created_version': stored.created,
+        'writes_since_created': stored.writes,
+        'author': stored.author,
+        'operations': stored.operations,
+        'operations_not_shown': max(stored.writes - shown, 0),
+    }
+    rows = [
+        ('now' if not age else f'{age} before', operation, author)
+        for age, operation, author in _list_writes(stored)
+    ]
+    table = format_table(('WRITE', 'OPERATION', 'AUTHOR'), rows)
+    text = (
+        f'{key} version {stored.version}, created at version '
+        f'{stored.created}, written {stored.writes} times since\n{table}\n'
+        'The platform keeps only the last value. Former values, their '
+        'authors, times of writing, and writes before a deletion or older '
+        f'than the last {model.RECENT_OPERATIONS + 1} cannot be shown.'
+    )
+    return Answer(document, text)
+
+
+@asynccontextmanager
+async def connected(
+    options: argparse.Namespace,
+) -> AsyncIterator[PlatformClient]:
+    """Open the platform that the options name; its errors end the command."""
+    if options.platform is None:
+        raise CommandError(ExitStatus.usage, 'needs --platform IP:PORT')
+    call_s = min(CALL_TIMEOUT_S, options.timeout / _CALLS_PER_TIMEOUT)
+    with translated():
+        async with open_platform(options.platform, Limits(call_s)) as client:
+            yield client
+
+
+@contextmanager
+def translated() -> Iterator[None]:
+    """Turn errors of the layers below into the command's failure."""
+    try:
+        yield
+    except ExceptionGroup as group:
+        faults = [
+            Fault(error.path, error.problem)
+            for error in group.exceptions
+            if isinstance(error, ModelError)
+        ]
+        message = f'{group.message}: {len(faults)} fault(s), nothing written'
+        raise CommandError(
+            ExitStatus.file_refused,
+            message,
+            faults,
+        ) from group
+    except (ModelError, PublishError, PlatformError) as error:
+        raise _explain_error(error) from error
+
+
+def _explain_error(error: ApricottallyError) -> CommandError:
+    if isinstance(error, PublishError):
+        return CommandError(_STATUSES[type(error)], str(error))
+    if isinstance(error, ModelError):
+        message = f'the stored value is refused by nodes: {error}'
+        return CommandError(ExitStatus.file_refused, message)
+    return CommandError(
+        ExitStatus.platform_failed,
+        f'the platform did not answer ({error}); nothing was written. '
+        'Run the command again when it answers.',
+    )
+
+
+def _load(options: argparse.Namespace) -> tuple[str, Body]:
+    with translated():
+        key = build_key(options.kind, options.name)
+        return key, load_file(options.kind, options.file)
+
+
+async def _change(
+    options: argparse.Namespace,
+    key: str,
+    body: Body | None,
+) -> Answer:
+    change = Change(
+        key,
+        body,
+        options.author or getpass.getuser(),
+        options.operation or publishing.make_operation(),
+        options.expect,
+    )
+    async with connected(options) as client:
+        await _check_references(client, key, body)
+        published = await publishing.publish(client, change, options.timeout)
+    if published.outcome is Outcome.absent:
+        raise _explain_absent(key)
+    return Answer(published, _describe(published))
+
+
+async def _check_references(
+    client: PlatformClient,
+    key: str,
+    body: Body | None,
+) -> None:
+    """Refuse a change that leaves references to nothing, or clashes."""
+    records = await _read_configuration(client)
+    faults = references.list_added_faults(records, key, body)
+    if faults:
+        raise CommandError(
+            ExitStatus.reference_refused,
+            f'{key} was not accepted: it does not fit the rest of the '
+            'configuration. Nothing was written.',
+            faults,
+        )
+
+
+async def _read_configuration(client: PlatformClient) -> list[Record]:
+    templates, revision = await client.list_prefix(model.TEMPLATE_PREFIX)
+    workspaces, _ = await client.list_prefix(model.WORKSPACE_PREFIX, revision)
+    return templates + workspaces
+
+
+async def _validate_stored(options: argparse.Namespace) -> Answer:
+    async with connected(options) as client:
+        records = await _read_configuration(client)
+    faults = references.build_catalogue(records).list_faults()
+    for record in records:
+        try:
+            model.decode_record(record.key, record.value or b'')
+        except ModelError as error:
+            faults.append(Fault(record.key, str(error)))
+    if faults:
+        raise CommandError(
+            ExitStatus.reference_refused,
+            f'the stored configuration has {len(faults)} fault(s)',
+            faults,
+        )
+    document = {'records': len(records)}
+    return Answer(document, f'{len(records)} stored documents are correct')
+
+
+def _describe(published: Publication) -> str:
+    key = published.key
+    version = published.version
+    if published.outcome is Outcome.unchanged:
+        return f'unchanged: {key} already has this content, version {version}'
+    if published.outcome is Outcome.superseded:
+        return (
+            f'accepted: {key}, operation {published.op}; a later write has '
+            'replaced it since'
+        )
+    if published.outcome is Outcome.deleted:
+        return f'deleted: {key}, was version {published.former_version}'
+    return (
+        f'accepted: {key} version {version} (was '
+        f'{published.former_version}), operation {published.op}\n'
+        'See whether it is in force: apricottally status --node IP:PORT '
+        f'--wait 7 --key {key} --version {version}'
+    )
+
+
+def _explain_absent(key: str) -> CommandError:
+    return CommandError(ExitStatus.not_found, f'{key} does not exist')
+
+
+def _decode_body(stored: Stored, kind: type[Body]) -> Body | None:
+    if stored.document is None:
+        return None
+    return model.decode_json(stored.document.body, kind)
+
+
+def _flatten(body: Body | None) -> dict[str, Any]:
+    """Return the fields of a body by key path."""
+    if body is None:
+        return {}
+    fields = msgspec.to_builtins(body)
+    templates = fields.pop('templates', {})
+    nested = {f'templates.{name}': each for name, each in templates.items()}
+    return {**fields, **nested}
+
+
+def _list_differences(
+    stored: dict[str, Any],
+    file: dict[str, Any],
+) -> list[Difference]:
+    paths = sorted({*stored, *file})
+    return [
+        Difference(path, stored.get(path), file.get(path))
+        for path in paths
+        if stored.get(path) != file.get(path)
+    ]
+
+
+def _list_writes(stored: Stored) -> list[tuple[int, str, str]]:
+    return [
+        (age, operation, stored.author if not age else 'not kept')
+        for age, operation in enumerate(stored.operations)
+    ]
+
+
+def _to_text(field: object) -> str:
+    return msgspec.json.encode(field).decode()
--- a/apricottally/errors.py
+++ b/apricottally/errors.py
@@ -50,5 +50,17 @@
     """A publication that was not accepted, or whose outcome is unknown."""
 
 
+class NotAcceptedError(PublishError):
+    """The platform did not take the change; nothing was written."""
+
+
+class ConflictError(PublishError):
+    """The key was changed by another operator; nothing was written."""
+
+
+class OutcomeUnknownError(PublishError):
+    """The change may or may not have been accepted."""
+
+
 class ControlError(ApricottallyError):
     """A node's control service did not answer, or refused the call."""
--- a/apricottally/fields.py
+++ b/apricottally/fields.py
@@ -7,6 +7,7 @@
 
 import enum
 import tomllib
+from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any, TypeVar, get_args, get_origin
@@ -65,7 +66,7 @@
     for name, info in known.items():
         read, problems = _read_field(info, table, join_path(path, name))
         faults += problems
-        if not problems:
+        if read is not msgspec.UNSET:
             values[name] = read
     return msgspec.structs.replace(sample, **values), faults
 
@@ -92,33 +93,49 @@
 ) -> tuple[Any, list[Fault]]:
     if info.name not in table and info.required:
         allowed = describe_type(info.type)
-        return None, [Fault(path, f'missing; allowed: {allowed}')]
+        return msgspec.UNSET, [Fault(path, f'missing; allowed: {allowed}')]
     value = table.get(info.name, info.default)
     return _convert(value, info.type, path)
 
 
 def _convert(value: Any, kind: Any, path: str) -> tuple[Any, list[Fault]]:
-    """Convert a value, entry by entry if it is a table or a list."""
+    """Convert a value, entry by entry if it is a table or a list.
+
+    Faulty entries are left out; the value is unset if nothing is left.
+    """
     origin = get_origin(kind)
     if origin is dict and isinstance(value, dict):
         entry_kind = get_args(kind)[1]
-        entries = [
-            _convert(each, entry_kind, join_path(path, key))
-            for key, each in value.items()
-        ]
+        paths = [join_path(path, key) for key in value]
+        entries, faults = _convert_all(value.values(), entry_kind, paths)
+        named = zip(value, entries, strict=True)
         collected: Any = {
-            key: entry[0] for key, entry in zip(value, entries, strict=True)
+            key: entry for key, entry in named if entry is not msgspec.UNSET
         }
     elif origin is tuple and isinstance(value, list):
         entry_kind = get_args(kind)[0]
-        entries = [
-            _convert(each, entry_kind, f'{path}[{index}]')
-            for index, each in enumerate(value)
-        ]
-        collected = tuple(each[0] for each in entries)
+        paths = [f'{path}[{index}]' for index in range(len(value))]
+        entries, faults = _convert_all(value, entry_kind, paths)
+        collected = tuple(
+            entry for entry in entries if entry is not msgspec.UNSET
+        )
     else:
         return _convert_plain(value, kind, path)
-    return collected, [fault for each in entries for fault in each[1]]
+    unset = faults and not collected
+    return msgspec.UNSET if unset else collected, faults
+
+
+def _convert_all(
+    given: Iterable[Any],
+    kind: Any,
+    paths: list[str],
+) -> tuple[list[Any], list[Fault]]:
+    converted = [
+        _convert(value, kind, path)
+        for value, path in zip(given, paths, strict=True)
+    ]
+    entries = [entry for entry, _ in converted]
+    return entries, [fault for _, faults in converted for fault in faults]
 
 
 def _convert_plain(value: Any, kind: Any, path: str) -> tuple[Any, list[Fault]]:
@@ -126,4 +143,5 @@
         return msgspec.convert(value, kind), []
     except msgspec.ValidationError:
         allowed = describe_type(kind)
-    return None, [Fault(path, f'{value!r} is refused; allowed: {allowed}')]
+    problem = f'{value!r} is refused; allowed: {allowed}'
+    return msgspec.UNSET, [Fault(path, problem)]
--- a/apricottally/platformclient.py
+++ b/apricottally/platformclient.py
@@ -69,10 +69,35 @@
 
     async def list_records(self) -> tuple[tuple[Record, ...], int]:
         """Return all records of the system and the revision they are from."""
-        own, revision = await self._list_prefix(model.PREFIX, 0)
-        machines, _ = await self._list_prefix(model.MACHINE_PREFIX, revision)
+        own, revision = await self.list_prefix(model.PREFIX)
+        machines, _ = await self.list_prefix(model.MACHINE_PREFIX, revision)
         return tuple(own + machines), revision
 
+    async def list_prefix(
+        self,
+        prefix: str,
+        revision: int = 0,
+    ) -> tuple[list[Record], int]:
+        """Return the records of a prefix at a revision (0: now), and it.
+
+        They are read page by page, all at one revision.
+        """
+        records: list[Record] = []
+        start = prefix.encode()
+        while True:
+            request = pb.RangeRequest(
+                key=start,
+                range_end=prefix_end(prefix),
+                limit=self._limits.page_keys,
+                revision=revision,
+            )
+            answer = await self._range(request)
+            revision = revision or answer.header.revision
+            records.extend(map(decode_entry, answer.kvs))
+            if not answer.more:
+                return records, revision
+            start = answer.kvs[-1].key + b'\0'
+
     async def read(self, key: str) -> Record | None:
         """Return the record of a key, None if it does not exist."""
         entry = await self.read_entry(key)
@@ -130,28 +155,6 @@
                 async for changed, seen in self.watch(revision):
                     yield Batch(changed, seen, complete=False)
 
-    async def _list_prefix(
-        self,
-        prefix: str,
-        revision: int,
-    ) -> tuple[list[Record], int]:
-        """Read the records of a prefix, page by page, at one revision."""
-        records: list[Record] = []
-        start = prefix.encode()
-        while True:
-            request = pb.RangeRequest(
-                key=start,
-                range_end=prefix_end(prefix),
-                limit=self._limits.page_keys,
-                revision=revision,
-            )
-            answer = await self._range(request)
-            revision = revision or answer.header.revision
-            records.extend(map(decode_entry, answer.kvs))
-            if not answer.more:
-                return records, revision
-            start = answer.kvs[-1].key + b'\0'
-
     async def _range(self, request: pb.RangeRequest) -> pb.RangeResponse:
         return await self._call(lambda stub: stub.Range(request))
 
--- a/apricottally/settings.py
+++ b/apricottally/settings.py
@@ -16,7 +16,6 @@
 
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
-_LAST_PORT = 65535
 _BYTE = '(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])'
 _PORT = (
     '([1-5]?[0-9]{1,4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])'
@@ -32,11 +31,15 @@
 ]
 UdpPort: TypeAlias = Annotated[
     int,
-    msgspec.Meta(ge=1, le=_LAST_PORT, description='UDP port, 1 to 65535'),
+    msgspec.Meta(
+        ge=1, le=addresses.LAST_PORT, description='UDP port, 1 to 65535'
+    ),
 ]
 TcpPort: TypeAlias = Annotated[
     int,
-    msgspec.Meta(ge=1, le=_LAST_PORT, description='TCP port, 1 to 65535'),
+    msgspec.Meta(
+        ge=1, le=addresses.LAST_PORT, description='TCP port, 1 to 65535'
+    ),
 ]
 IpText: TypeAlias = Annotated[
     str,
@@ -186,17 +189,14 @@
     return faults
 
 
-def _parse_endpoint(text: str) -> Endpoint:
-    ip, _, port = text.rpartition(':')
-    return ip, int(port)
-
-
 def _build(tables: FileTable) -> Settings:
     fields = msgspec.structs.asdict(tables.node)
-    fields['gateway'] = _parse_endpoint(tables.node.gateway)
-    fields['seeds'] = tuple(map(_parse_endpoint, tables.node.seeds))
+    fields['gateway'] = addresses.parse_endpoint(tables.node.gateway)
+    fields['seeds'] = tuple(map(addresses.parse_endpoint, tables.node.seeds))
     return Settings(
         node=NodeSettings(**fields),
-        platform=PlatformSettings(_parse_endpoint(tables.platform.endpoint)),
+        platform=PlatformSettings(
+            addresses.parse_endpoint(tables.platform.endpoint)
+        ),
         log=LogSettings(tables.log.level),
     )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -15,6 +15,7 @@
 import msgspec
 from grpclib.server import Server
 
+from apricottally import addresses
 from apricottally.addresses import Endpoint
 from standins.platformfaults import Change, Faults
 from standins.platformleases import Leases
@@ -129,12 +130,6 @@
     return listener
 
 
-def parse_endpoint(text: str) -> Endpoint:
-    """Return the endpoint written as IP:PORT; raises `ValueError`."""
-    ip, _, port = text.rpartition(':')
-    return ip, int(port)
-
-
 async def run(listen: Endpoint, admin: Endpoint | None) -> None:
     """Run until SIGTERM or SIGINT."""
     stopped = asyncio.Event()
@@ -142,7 +137,8 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stopped.set)
     async with open_platform(listen, admin) as platform:
-        print('listening on {}:{}'.format(*platform.endpoint), flush=True)
+        where = addresses.format_endpoint(platform.endpoint)
+        print(f'listening on {where}', flush=True)
         await stopped.wait()
 
 
@@ -152,8 +148,10 @@
         prog='python -m standins.platform',
         description=__doc__,
     )
-    parser.add_argument('--listen', type=parse_endpoint, required=True)
-    parser.add_argument('--admin', type=parse_endpoint)
+    parser.add_argument(
+        '--listen', type=addresses.parse_endpoint, required=True
+    )
+    parser.add_argument('--admin', type=addresses.parse_endpoint)
     options = parser.parse_args()
     asyncio.run(run(options.listen, options.admin))
 
--- /dev/null
+++ b/tests/test_publishing.py
@@ -0,0 +1,325 @@
+"""Operators' flows against the platform stand-in."""
+
+import asyncio
+import contextlib
+import re
+
+import msgspec
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from apricottally import addresses, commands, model
+from apricottally.model import Document
+from apricottally.publishing import Stored, judge_removal, judge_write
+from standins.platform import Change, open_platform
+from tests.asyncruns import LISTEN
+
+scenarios('features')
+
+# The tool waits a quarter of it for each call.
+TIMEOUT_S = '2'
+WRITER = 'other'
+
+
+class World:
+    """A platform in the test's own loop, and the tool run against it."""
+
+    def __init__(self, runner, platform, directory, capsys) -> None:
+        self.runner = runner
+        self.platform = platform
+        self.directory = directory
+        self.capsys = capsys
+        self.status = None
+        self.said = ''
+        self.last = []
+
+    def prepare(self, *arguments: str) -> list[str]:
+        endpoint = addresses.format_endpoint(self.platform.endpoint)
+        fixed = ['--platform', endpoint, '--timeout', TIMEOUT_S]
+        return [*fixed, *arguments]
+
+    def run(self, *arguments: str) -> None:
+        self.last = list(arguments)
+        self.status = self.runner.run(commands.run(self.prepare(*arguments)))
+        printed = self.capsys.readouterr()
+        self.said = printed.out + printed.err
+
+    def write_file(self, text: str) -> str:
+        path = self.directory / f'{len(list(self.directory.iterdir()))}.toml'
+        path.write_text(text)
+        return str(path)
+
+    def write_workspace(self, address: str, template: str) -> str:
+        text = f'address = "{address}"\n[templates]\n{template} = 1.0\n'
+        return self.write_file(text)
+
+    def count_writes(self, name: str) -> int:
+        key = f'{model.WORKSPACE_PREFIX}{name}'.encode()
+        entry = self.platform.store.find(key)
+        return entry.version if entry else 0
+
+    def write_as_other(self, name: str, times: int) -> None:
+        key = model.WORKSPACE_PREFIX + name
+        store = self.platform.store
+        for number in range(times):
+            former = store.find(key.encode())
+            held = model.decode_document(former.value)
+            body = msgspec.json.decode(held.body, type=model.Workspace)
+            value = model.encode_document(
+                f'other-{number}',
+                WRITER,
+                body,
+                (held.op, *held.recent),
+            )
+            store.put(key.encode(), value)
+            store.commit()
+
+    def after_next_write(self, action) -> None:
+        def act() -> None:
+            self.platform.store.listeners.discard(act)
+            action()
+
+        self.platform.store.listeners.add(act)
+
+    def from_next_write_call(self, action) -> None:
+        faults = self.platform.faults
+        enter = faults.enter
+
+        async def enter_once(method, peer_ip) -> None:
+            if method == 'Txn':
+                faults.enter = enter
+                action()
+            await enter(method, peer_ip)
+
+        faults.enter = enter_once
+
+
+@pytest.fixture
+def world(tmp_path, capsys):
+    with asyncio.Runner() as runner, contextlib.ExitStack() as stack:
+        opening = open_platform(LISTEN)
+        platform = runner.run(opening.__aenter__())
+        stack.callback(lambda: runner.run(opening.__aexit__(None, None, None)))
+        yield World(runner, platform, tmp_path, capsys)
+
+
+@given(parsers.parse('a platform with the template "{name}" on port {port}'))
+def publish_template(world, name, port) -> None:
+    path = world.write_file(
+        'service = "etikett-core"\nurgency = "urgent"\n'
+        f'port = {port}\nholds = "connection"\n',
+    )
+    world.run('publish', 'template', name, path)
+    assert world.status == 0, world.said
+
+
+@given(parsers.parse('I published the workspace "{name}" at {at} for "{used}"'))
+@when(parsers.parse('I publish the workspace "{name}" at {at} for "{used}"'))
+def publish_workspace(world, name, at, used) -> None:
+    world.run('publish', 'workspace', name, world.write_workspace(at, used))
+
+
+@when(
+    parsers.parse(
+        'I publish the workspace "{name}" at {at} for "{used}" expecting '
+        '{version}',
+    ),
+)
+def publish_expecting(world, name, at, used, version) -> None:
+    path = world.write_workspace(at, used)
+    world.run('publish', 'workspace', name, path, '--expect', version)
+
+
+@given(parsers.parse('the platform loses the next answer by {loss}'))
+def lose_answer(world, loss) -> None:
+    world.platform.change(Change(lose_answers=1, loss=loss))
+
+
+@given(parsers.re('the platform has the outage (?P<outage>[a-z]+)$'))
+def start_outage(world, outage) -> None:
+    world.platform.change(Change(outage=outage))
+
+
+@given(
+    parsers.parse(
+        'the platform has the outage {outage} from the next write call on',
+    ),
+)
+def start_outage_later(world, outage) -> None:
+    world.from_next_write_call(
+        lambda: world.platform.change(Change(outage=outage)),
+    )
+
+
+@given('the outage ends after 1 second')
+def end_outage_later(world) -> None:
+    world.runner.get_loop().call_later(
+        1,
+        world.platform.change,
+        Change(outage='none'),
+    )
+
+
+@given('the platform goes down after the next write')
+def go_down_after_write(world) -> None:
+    change = Change(outage='hang', lose_answers=1, loss='hang')
+    world.after_next_write(lambda: world.platform.change(change))
+
+
+@given('the platform is up again')
+def end_outage(world) -> None:
+    world.platform.change(Change(outage='none'))
+
+
+@given(
+    parsers.re(
+        'another operator writes "(?P<name>.+)" (?P<times>[0-9]+) times? '
+        'after the next write',
+    ),
+)
+def write_after(world, name, times) -> None:
+    world.after_next_write(lambda: world.write_as_other(name, int(times)))
+
+
+@given(parsers.parse('another operator writes "{name}" 1 time meanwhile'))
+def write_meanwhile(world, name) -> None:
+    world.from_next_write_call(lambda: world.write_as_other(name, 1))
+
+
+@when('I repeat the command as the message says')
+def repeat_command(world) -> None:
+    found = re.search(r'--operation (\w+) --expect (\d+)', world.said)
+    world.run(
+        *world.last,
+        '--operation',
+        found.group(1),
+        '--expect',
+        found.group(2),
+    )
+
+
+@when(parsers.parse('two operators publish the workspace "{name}" at once'))
+def publish_at_once(world, name) -> None:
+    world.platform.change(Change(delay_s=0.05))
+    runs = [
+        commands.run(
+            world.prepare(
+                'publish',
+                'workspace',
+                name,
+                world.write_workspace(f'10.9.1.{number}', 'feed'),
+            ),
+        )
+        for number in range(2)
+    ]
+
+    async def run_both():
+        return await asyncio.gather(*runs)
+
+    world.status = sorted(world.runner.run(run_both()))
+
+
+@when(parsers.parse('I run "{words}"'))
+def run_words(world, words) -> None:
+    world.run(*words.split())
+
+
+@given(parsers.parse('I published the workspace "{name}" at {at} as {words}'))
+@when(parsers.parse('I publish the workspace "{name}" at {at} as {words}'))
+def publish_operation(world, name, at, words) -> None:
+    path = world.write_workspace(at, 'feed')
+    operation = words.split('"')[1]
+    world.run('publish', 'workspace', name, path, '--operation', operation)
+
+
+@when('I publish a workspace file with 4 faults')
+def publish_faults(world) -> None:
+    path = world.write_file(
+        'address = "10.9.0.x"\ncolour = 1\n[templates]\nfeed = "much"\n'
+        'sheets = -1\n',
+    )
+    world.run('publish', 'workspace', 'shop', path)
+
+
+@when(parsers.parse('I compare the workspace "{name}" at {at} for "{used}"'))
+def compare_workspace(world, name, at, used) -> None:
+    world.run('diff', 'workspace', name, world.write_workspace(at, used))
+
+
+@when(parsers.parse('I publish what is shown of the workspace "{name}"'))
+def publish_shown(world, name) -> None:
+    world.run('show', 'workspace', name)
+    world.run('publish', 'workspace', name, world.write_file(world.said))
+
+
+@then(parsers.parse('the exit status is {status:d}'))
+def check_status(world, status) -> None:
+    assert world.status == status, world.said
+
+
+@then(parsers.re('it says "(?P<words>.+)"$'))
+def check_words(world, words) -> None:
+    assert words in world.said
+
+
+@then(parsers.re('"(?P<name>.+)" was written (?P<times>[0-9]+) times?'))
+def check_writes(world, name, times) -> None:
+    assert world.count_writes(name) == int(times)
+
+
+@then(parsers.parse('"{name}" does not exist'))
+def check_absent(world, name) -> None:
+    assert not world.count_writes(name)
+
+
+@then('one is accepted and one conflicts')
+def check_race(world) -> None:
+    assert world.status == [0, 5]
+    assert world.count_writes('shop') == 2
+
+
+def build_stored(version, created, writes, *operations) -> Stored:
+    if not operations:
+        return Stored(version, created, writes)
+    raw = msgspec.Raw(b'{}')
+    document = Document(operations[0], 'me', raw, operations[1:])
+    return Stored(version, created, writes, document)
+
+
+@pytest.mark.parametrize(
+    ('base', 'found', 'verdict'),
+    [
+        ((5, 2, 3, 'a'), (6, 2, 4, 'mine', 'a'), 'accepted'),
+        ((5, 2, 3, 'a'), (9, 2, 6, 'c', 'b', 'mine'), 'superseded'),
+        ((5, 2, 3, 'a'), (5, 2, 3, 'a'), 'untouched'),
+        ((5, 2, 3, 'a'), (6, 2, 4, 'b', 'a'), 'beaten'),
+        ((5, 2, 3, 'a'), (99, 2, 12, *'ihgfedcba'), 'beaten'),
+        ((5, 2, 3, 'a'), (99, 2, 13, *'jihgfedcb'), 'unclear'),
+        ((5, 2, 3, 'a'), (9, 9, 1, 'b'), 'unclear'),
+        ((5, 2, 3, 'a'), (), 'unclear'),
+        ((), (), 'untouched'),
+        ((), (9, 9, 1, 'b'), 'beaten'),
+    ],
+)
+def test_read_back(base, found, verdict) -> None:
+    """Guards against a wrong conclusion from the key read back."""
+    stored = [
+        build_stored(*each) if each else Stored() for each in (base, found)
+    ]
+    assert judge_write(*stored, 'mine').value == verdict
+
+
+@pytest.mark.parametrize(
+    ('found', 'verdict'),
+    [
+        ((), 'accepted'),
+        ((5, 2, 3, 'a'), 'untouched'),
+        ((6, 2, 4, 'b', 'a'), 'beaten'),
+        ((9, 9, 1, 'b'), 'unclear'),
+    ],
+)
+def test_read_back_removal(found, verdict) -> None:
+    """Guards against a deletion that is reported but did not happen."""
+    stored = build_stored(*found) if found else Stored()
+    base = build_stored(5, 2, 3, 'a')
+    assert judge_removal(base, stored).value == verdict
