--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,10 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 SEED ?= 1
+# Tests run side by side; each has its own seed and addresses.
+WORKERS ?= 6
 STEPS ?= 20000
-CODE := apricottally standins demo bench tests
+CODE := apricottally standins demo bench soak tests
 
 export PYTHONPATH := $(CURDIR)
 
@@ -24,7 +26,7 @@
 	$(BIN)/python -m bench
 
 soak: $(VENV)/.installed
-	$(BIN)/python -m bench.soak --seed $(SEED) --steps $(STEPS)
+	$(BIN)/python -m soak --seed $(SEED) --steps $(STEPS)
 
 format: $(VENV)/.installed
 	$(BIN)/ruff format $(CODE)
@@ -39,6 +41,6 @@
 	$(BIN)/mypy
 
 unit: $(VENV)/.installed
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS)
 
 test: lint types unit
--- a/apricottally/errors.py
+++ b/apricottally/errors.py
@@ -38,13 +38,38 @@
         self.problem = problem
 
 
+class SocketError(ApricottallyError):
+    """A socket that cannot be opened; `endpoint` is its address and port."""
+
+    def __init__(self, endpoint: tuple[str, int], problem: str) -> None:
+        super().__init__(f'{endpoint[0]}:{endpoint[1]}: {problem}')
+        self.endpoint = endpoint
+        self.problem = problem
+
+
 class PlatformError(ApricottallyError):
     """The platform's service did not answer, or refused the call."""
 
 
+class CompactedError(PlatformError):
+    """The platform no longer keeps the revision that was asked for."""
+
+
 class PublishError(ApricottallyError):
     """A publication that was not accepted, or whose outcome is unknown."""
 
 
+class NotAcceptedError(PublishError):
+    """The platform did not take the change; nothing was written."""
+
+
+class ConflictError(PublishError):
+    """The key was changed by another operator; nothing was written."""
+
+
+class OutcomeUnknownError(PublishError):
+    """The change may or may not have been accepted."""
+
+
 class ControlError(ApricottallyError):
     """A node's control service did not answer, or refused the call."""
--- a/apricottally/reducer.py
+++ b/apricottally/reducer.py
@@ -13,10 +13,13 @@
     forwarding,
     membership,
     numbering,
+    outbound,
     peerlink,
+    shutdown,
+    silence,
     watch,
 )
-from apricottally.effects import Effect, Exit
+from apricottally.effects import Effect
 from apricottally.events import (
     Event,
     LoadReported,
@@ -37,24 +40,18 @@
 
 
 def _tick(state: NodeState, event: Ticked) -> list[Effect]:
+    silence.tick(state, event.now)
+    admitted = admission.tick(state, event.now, event.wall_s)
     return [
         *membership.tick(state, event),
         *dissemination.tick(state, event),
         *peerlink.tick(state, event.now),
         *numbering.tick(state, event),
-        *admission.tick(state, event.now),
+        *outbound.keep_valid(state, admitted),
+        *shutdown.tick(state, event.now),
     ]
 
 
-def _take_load(state: NodeState, event: LoadReported) -> list[Effect]:
-    return []
-
-
-def _shut_down(state: NodeState, event: ShutdownRequested) -> list[Effect]:
-    state.stopping = True
-    return [*membership.leave(state, event.now), Exit(0)]
-
-
 _HANDLERS: dict[type, Callable[[NodeState, Any], list[Effect]]] = {
     PacketReceived: forwarding.receive_packet,
     PeerReceived: peerlink.receive_peer,
@@ -62,6 +59,6 @@
     RecordsReceived: dissemination.receive_records,
     PlatformLost: watch.lose,
     SwapCompleted: numbering.complete_swap,
-    LoadReported: _take_load,
-    ShutdownRequested: _shut_down,
+    LoadReported: admission.receive_load,
+    ShutdownRequested: shutdown.request,
 }
--- a/apricottally/routes.py
+++ b/apricottally/routes.py
@@ -10,22 +10,27 @@
 from apricottally.records import RecordStore
 from apricottally.shards import Shard, count_shards, shard_index
 
+_NONE: frozenset[str] = frozenset()
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
     """A service's backends by number, and its shards.
 
     `endpoints` maps a number to the backend's packet endpoint, for every
-    backend that may still have open flows. `version` is the record's.
+    backend that may still have open flows. `numbers_by_source` is its
+    inverse, by address text. `version` is the record's. `moved` are
+    addresses that another service has by now.
     """
 
     name: str
     version: int
     backends: dict[int, Backend]
     endpoints: dict[int, Endpoint]
-    numbers_by_ip: dict[int, int]
+    numbers_by_source: dict[str, int]
     shards: tuple[Shard, ...]
     shard_of: dict[int, Shard]
+    moved: frozenset[str] = _NONE
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,11 +61,15 @@
     next while their records stand: decoding a region's takes 0.3 s.
     """
 
-    __slots__ = ('_services', '_sites', 'routes')
+    __slots__ = ('_numbered', '_services', '_sites', 'routes', 'service_of_ip')
 
     def __init__(self) -> None:
         self.routes: dict[int, Route] = {}
+        # The one service that each backend address belongs to.
+        self.service_of_ip: dict[str, Service] = {}
         self._services: dict[str, Service] = {}
+        # Those services that have a record.
+        self._numbered: dict[str, Service] = {}
         self._sites: dict[str, _Site] = {}
 
     @property
@@ -78,7 +87,7 @@
         A workspace that names an unknown template is routed for its other
         templates. Of two workspaces with one endpoint the older key wins.
         """
-        self._services = _build_services(store, self._services)
+        self._rebuild_services(store)
         self._sites = _decode_sites(store, self._sites)
         templates = {
             record.key.removeprefix(model.TEMPLATE_PREFIX): body
@@ -90,6 +99,17 @@
             self._add_workspace(routes, templates, site)
         self.routes = routes
 
+    def _rebuild_services(self, store: RecordStore) -> None:
+        numbered = _build_services(store, self._numbered)
+        if numbered is not self._numbered:
+            self._numbered = numbered
+            self.service_of_ip = {
+                ip: service
+                for service in numbered.values()
+                for ip in service.numbers_by_source
+            }
+        self._services = dict(numbered)
+
     def _add_workspace(
         self,
         routes: dict[int, Route],
@@ -112,12 +132,16 @@
     name: str,
     version: int,
     backends: tuple[Backend, ...],
+    moved: frozenset[str] = _NONE,
 ) -> Service:
-    """Return the service with its shards, from its backends."""
+    """Return the service with its shards, from its backends.
+
+    `moved` are addresses that another service has by now.
+    """
     present = [
         backend
         for backend in backends
-        if backend.state is not BackendState.retired
+        if backend.state is not BackendState.retired and backend.ip not in moved
     ]
     built, shard_of = _build_shards(name, present)
     return Service(
@@ -128,12 +152,10 @@
             backend.number: (backend.ip, addresses.PACKET_PORT)
             for backend in present
         },
-        numbers_by_ip={
-            addresses.parse_ip(backend.ip): backend.number
-            for backend in present
-        },
+        numbers_by_source={backend.ip: backend.number for backend in present},
         shards=built,
         shard_of=shard_of,
+        moved=moved,
     )
 
 
@@ -141,17 +163,55 @@
     store: RecordStore,
     former: dict[str, Service],
 ) -> dict[str, Service]:
-    services = {}
-    for record in store.list_prefix(model.BACKEND_PREFIX):
-        name = record.key.removeprefix(model.BACKEND_PREFIX)
+    """Return the services by name, `former` itself if no record changed."""
+    records = {
+        record.key.removeprefix(model.BACKEND_PREFIX): record
+        for record in store.list_prefix(model.BACKEND_PREFIX)
+    }
+    versions = {name: record.version for name, record in records.items()}
+    if versions == {name: kept.version for name, kept in former.items()}:
+        return former
+    listed: dict[str, tuple[Backend, ...]] = {}
+    for name, record in records.items():
         known = former.get(name)
         if known is not None and known.version == record.version:
-            services[name] = known
+            listed[name] = tuple(known.backends.values())
             continue
         body = _decode(record.key, record.value)
         if isinstance(body, model.BackendSet):
-            services[name] = build_service(name, record.version, body.backends)
-    return services
+            listed[name] = body.backends
+    claims = _claim_addresses(listed)
+    return {
+        name: _renew_service(
+            former.get(name),
+            name,
+            versions[name],
+            backends,
+            claims,
+        )
+        for name, backends in listed.items()
+    }
+
+
+def _renew_service(
+    former: Service | None,
+    name: str,
+    version: int,
+    backends: tuple[Backend, ...],
+    claims: dict[str, str],
+) -> Service:
+    """Return the former service if nothing that it was built from changed."""
+    moved = frozenset(
+        backend.ip
+        for backend in backends
+        if claims.get(backend.ip, name) != name
+    )
+    if former is not None and (former.version, former.moved) == (
+        version,
+        moved,
+    ):
+        return former
+    return build_service(name, version, backends, moved)
 
 
 def _decode_sites(
@@ -176,6 +236,23 @@
     return sites
 
 
+def _claim_addresses(listed: dict[str, tuple[Backend, ...]]) -> dict[str, str]:
+    """Return the service of each backend address.
+
+    The platform may give the address of a VM that is gone to a VM of another
+    service before the first record says so; the later change wins, so that no
+    packet for the former service reaches the new one.
+    """
+    claims: dict[str, tuple[int, str]] = {}
+    for name, backends in listed.items():
+        for backend in backends:
+            if backend.state is BackendState.retired:
+                continue
+            claim = (backend.changed_s, name)
+            claims[backend.ip] = max(claim, claims.get(backend.ip, claim))
+    return {ip: name for ip, (_, name) in claims.items()}
+
+
 def _build_shards(
     name: str,
     present: list[Backend],
--- a/apricottally/shards.py
+++ b/apricottally/shards.py
@@ -9,20 +9,24 @@
 # One owner admits for a whole shard; its size bounds the work of one node
 # and the number of shards a large service spreads over.
 SHARD_BACKENDS = 64
+# Flows share trackers by bucket, since a rendezvous hash over all members of a
+# region for each packet would cost hundreds of microseconds.
+TRACKER_BUCKETS = 4096
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Shard:
     """The backend servers of one service and zone that one node admits for.
 
-    `numbers` are those that may get new flows; `weight` is their slots.
+    `numbers` are those that may get new flows; `weight` is their slots. It
+    is the only field that changes: it grows while backends are in slow start.
     """
 
     name: str
     service: str
     zone: str
     numbers: tuple[int, ...]
-    weight: int
+    weight: float
 
 
 def count_shards(backends: int) -> int:
@@ -67,21 +71,29 @@
     return ordered[:count]
 
 
+@dataclass(frozen=True, slots=True)
+class Reachable:
+    """A service's shards, and those of them that can be reached."""
+
+    known: tuple[Shard, ...]
+    reachable: tuple[Shard, ...]
+
+
 class Owners:
     """Owners of shards and trackers of flows, cached while members stand."""
 
-    __slots__ = ('_members', '_owners', '_version')
+    __slots__ = ('_members', '_owners', '_reachable', '_trackers', '_version')
 
     def __init__(self, members: MemberTable) -> None:
         self._members = members
         self._owners: dict[str, Member] = {}
+        self._trackers: dict[int, Member] = {}
+        self._reachable: dict[str, Reachable] = {}
         self._version = 0
 
     def find(self, shard_name: str, zone: str) -> Member:
         """Return the owner of a shard; this node if no member is eligible."""
-        if self._version != self._members.version:
-            self._owners.clear()
-            self._version = self._members.version
+        self._forget_old()
         owner = self._owners.get(shard_name)
         if owner is None:
             owner = self._choose(shard_name, zone)
@@ -94,13 +106,47 @@
 
     def find_tracker(self, key: bytes) -> Member:
         """Return the node that tracks a flow that may be silent."""
-        own = self._members.own
-        candidates = self._members.eligible(own.zone)
-        return choose_member(candidates, key) or own
+        self._forget_old()
+        bucket = xxhash.xxh3_64_intdigest(key) % TRACKER_BUCKETS
+        tracker = self._trackers.get(bucket)
+        if tracker is None:
+            own = self._members.own
+            candidates = self._members.alive(own.zone)
+            subject = bucket.to_bytes(2, 'big')
+            tracker = choose_member(candidates, subject) or own
+            self._trackers[bucket] = tracker
+        return tracker
+
+    def list_reachable(
+        self,
+        service: str,
+        shards: tuple[Shard, ...],
+    ) -> tuple[Shard, ...]:
+        """Return the shards whose zone has a live node; all if none has.
+
+        A zone that is cut off keeps its backends to itself: new flows go to
+        the shards that this side can reach.
+        """
+        self._forget_old()
+        kept = self._reachable.get(service)
+        if kept is None or kept.known is not shards:
+            reachable = tuple(
+                shard for shard in shards if self._members.alive(shard.zone)
+            )
+            kept = Reachable(shards, reachable or shards)
+            self._reachable[service] = kept
+        return kept.reachable
+
+    def _forget_old(self) -> None:
+        if self._version != self._members.version:
+            self._owners.clear()
+            self._trackers.clear()
+            self._reachable.clear()
+            self._version = self._members.version
 
     def _choose(self, shard_name: str, zone: str) -> Member:
         subject = shard_name.encode()
-        candidates = self._members.eligible(zone) or self._members.eligible()
+        candidates = self._members.alive(zone) or self._members.alive()
         return choose_member(candidates, subject) or self._members.own
 
 
@@ -126,7 +172,7 @@
     return best
 
 
-def _weigh(hashed: int, weight: int) -> float:
+def _weigh(hashed: int, weight: float) -> float:
     """Return u ** (1 / weight) for u uniform in (0, 1): weighted rendezvous."""
     uniform = (hashed + 1) / ((1 << 64) + 1)
     return float(uniform ** (1 / weight))
--- a/apricottally/state.py
+++ b/apricottally/state.py
@@ -4,15 +4,18 @@
 from dataclasses import dataclass
 
 from apricottally.addresses import Endpoint
-from apricottally.admission import Admissions
 from apricottally.control import create_control
 from apricottally.counters import Counters
 from apricottally.explanation import Decisions
+from apricottally.flows import Admissions
 from apricottally.invariants import Invariants
 from apricottally.members import Member, MemberTable
 from apricottally.records import RecordStore
 from apricottally.routes import RouteTable
 from apricottally.shards import Owners
+from apricottally.shutdown import Shutdown
+from apricottally.silence import Clocks, Suspects
+from apricottally.strays import Budget
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +46,7 @@
         )
 
 
-class NodeState:
+class NodeState:  # noqa: WPS230
     """Everything a node knows; owned by the reducer."""
 
     def __init__(self, config: NodeConfig, rng: random.Random) -> None:
@@ -58,4 +61,7 @@
         self.owners = Owners(self.members)
         self.admissions = Admissions()
         self.decisions = Decisions()
-        self.stopping = False
+        self.clocks = Clocks()
+        self.suspects = Suspects()
+        self.strays = Budget()
+        self.shutdown = Shutdown()
