Notice a cut zone as a whole

Cause: the loss of a zone spread member by member, eight changes a message. Change: after a failed probe of another zone a node pings 8 of its members; if 6 probes fail with nothing heard from the zone since they were sent, it suspects the whole zone and does not tell the others, who find out alike. Nodes of a silent zone are not asked to probe for others.

--- a/apricottally/membership.py
+++ b/apricottally/membership.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -26,6 +27,7 @@
     put,
     rank,
     suspect,
+    suspect_zone,
 )
 
 if TYPE_CHECKING:
@@ -44,6 +46,10 @@
 # A gap between ticks that shows that this process did not run.
 PAUSE_S = 1.0
 GOSSIP_PEERS = 3
+# Probes of another zone in a row that fail before all of it is suspected.
+ZONE_FAILURES = 6
+# Members pinged after the first failure; some may die of other news.
+ZONE_PROBES = 8
 # A ping with few changes.
 PING_BYTES = 200
 
@@ -84,6 +90,7 @@
     told: tuple[Member, ...] = ()
     if held is not None and rank(held) > rank(message.sender):
         told = (held,)
+    _hear_zone(state, now, message.sender.zone)
     effects = learn(state, now, (message.sender, *message.updates))
     effects += _note_view(state, now, source, message.view)
     answer = Ack(
@@ -104,6 +111,7 @@
 ) -> list[Effect]:
     """Close the probe, and pass the answer on if another node asked."""
     swim = state.control.swim
+    _hear_zone(state, now, message.sender.zone)
     effects = learn(state, now, (message.sender, *message.updates))
     probe = swim.probes.pop(message.seq, None)
     if probe is None:
@@ -203,28 +211,73 @@
         if now - probe.sent >= DIRECT_TIMEOUT_S
     ]
     for seq, probe in late:
-        expired = now - probe.sent >= PROBE_TIMEOUT_S
-        if expired:
+        if now - probe.sent >= PROBE_TIMEOUT_S:
             probes.pop(seq)
-        if probe.asker is not None or probe.contact:
-            continue
-        if expired:
-            effects += suspect(state, now, probe.name)
-        elif not probe.indirect:
+            effects += _fail_probe(state, now, probe)
+        elif not (probe.indirect or probe.contact or probe.asker):
             probe.indirect = True
             effects += _ask_others(state, seq, probe.name)
     return effects
 
 
+def _fail_probe(state: NodeState, now: float, probe: Probe) -> list[Effect]:
+    """Suspect a member, and its whole zone if nothing comes from there."""
+    if probe.asker is not None:
+        return []
+    effects: list[Effect] = []
+    if not probe.contact:
+        effects += suspect(state, now, probe.name)
+    member = state.members.members.get(probe.name)
+    if member is None or member.zone == state.config.zone:
+        return effects
+    swim = state.control.swim
+    if probe.sent <= swim.heard.get(member.zone, -math.inf):
+        return effects
+    silent = swim.silent
+    failures = silent.get(member.zone, 0) + 1
+    if probe.contact and (failures > 1 or member.state is MemberState.dead):
+        # Suspects of one lost rack are asked again all at once.
+        return effects
+    silent[member.zone] = failures
+    if failures == 1:
+        effects += _probe_zone(state, now, member.zone)
+    if failures >= ZONE_FAILURES:
+        effects += suspect_zone(state, now, member.zone)
+    return effects
+
+
+def _hear_zone(state: NodeState, now: float, zone: str) -> None:
+    """Note that a zone is not cut off."""
+    state.control.swim.heard[zone] = now
+    state.control.swim.silent.pop(zone, None)
+
+
+def _probe_zone(state: NodeState, now: float, zone: str) -> list[Effect]:
+    """Ping a few members of a zone at once, to learn whether it is cut."""
+    members = [
+        member
+        for member in state.control.swim.peers.other_zones
+        if member.zone == zone
+    ]
+    state.rng.shuffle(members)
+    # Suspects are asked only where too few others are left.
+    members.sort(key=lambda member: member.state)
+    chosen = members[:ZONE_PROBES]
+    return [
+        _ping(state, member.peer, Probe(member.name, now)) for member in chosen
+    ]
+
+
 def _ask_others(state: NodeState, seq: int, name: str) -> list[Effect]:
     target = state.members.members.get(name)
     if target is None:
         return []
     payload = messages.encode(PingRequest(seq, target))
+    silent = state.control.swim.silent
     others = [
         member
         for member in state.control.swim.peers.everywhere
-        if member.name != name
+        if member.name != name and member.zone not in silent
     ]
     return [
         SendPeer(member.peer, payload)
@@ -242,10 +295,10 @@
         if suspicion.deadline <= now
     ]
     for name in lapsed:
-        swim.suspects.pop(name)
+        spread = swim.suspects.pop(name).spread
         held = state.members.members[name]
         update = msgspec.structs.replace(held, state=MemberState.dead)
-        effects += learn(state, now, (update,))
+        effects += learn(state, now, (update,), spread=spread)
     old = [name for name, at in swim.dead.items() if at + FORGET_S <= now]
     for name in old:
         swim.dead.pop(name)
--- a/apricottally/swim.py
+++ b/apricottally/swim.py
@@ -48,10 +48,14 @@
 
 @dataclass(slots=True)
 class Suspicion:
-    """When a suspect is declared dead, and when it is asked again."""
+    """When a suspect is declared dead, and when it is asked again.
+
+    `spread` says whether the others are told of its death.
+    """
 
     deadline: float
     recheck: float
+    spread: bool = True
 
 
 @dataclass(slots=True)
@@ -59,7 +63,8 @@
     """Probes, suspicions and changes to pass on.
 
     `dead` maps a name to the time at which it was declared dead; `digest`
-    covers all members but dead ones.
+    covers all members but dead ones. `silent` counts the probes of a zone
+    that failed since a message last came from it, which was at `heard`.
     """
 
     sequence: int = 0
@@ -72,6 +77,8 @@
     dead: dict[str, float] = field(default_factory=dict)
     rumours: Rumours = field(default_factory=Rumours)
     peers: Peers = field(default_factory=Peers)
+    silent: dict[str, int] = field(default_factory=dict)
+    heard: dict[str, float] = field(default_factory=dict)
     digest: int = 0
     gossip_budget: Budget = field(
         default_factory=lambda: Budget(GOSSIP_BYTES_PER_S, GOSSIP_BURST_BYTES),
@@ -109,6 +116,29 @@
     return learn(state, now, (update,))
 
 
+def suspect_zone(state: NodeState, now: float, zone: str) -> list[Effect]:
+    """Suspect all members of a zone, and do not tell the others.
+
+    They find out in the same way; telling them of each member of a large
+    zone takes longer than that.
+    """
+    swim = state.control.swim
+    silent = [
+        member
+        for member in state.members.members.values()
+        if member.zone == zone and member.state is MemberState.alive
+    ]
+    effects: list[Effect] = []
+    for member in silent:
+        update = msgspec.structs.replace(member, state=MemberState.suspect)
+        effects += learn(state, now, (update,), spread=False)
+        swim.suspects[member.name].spread = False
+    if silent:
+        state.counters.add('member', 'zone_silent')
+        effects.append(WriteLog('zone_silent', {'zone': zone}))
+    return effects
+
+
 def put(state: NodeState, member: Member, *, spread: bool = True) -> None:
     """Store a change, keep the digest right and queue it for the others."""
     swim = state.control.swim
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,6 +11,7 @@
 from apricottally.members import Member, MemberState
 from apricottally.reducer import reduce
 from apricottally.state import NodeState
+from bench.controldata import join_all
 from standins.mesh import Faults, Mesh, build_configs
 
 ALIVE = MemberState.alive
@@ -119,16 +120,41 @@
     assert state.members.members['x'].state is MemberState.suspect
 
 
-def test_cut_zone_is_excluded() -> None:
-    """Guards against shards of a cut zone that stay with its nodes."""
-    mesh = run_joined(3, {'a': 12, 'b': 12}, Faults())
+@pytest.mark.parametrize('seed', range(3))
+def test_cut_zone_is_excluded(seed: int) -> None:
+    """Guards against flows handed to owners in a zone that is cut off."""
+    mesh = Mesh(seed, {'a': 75, 'b': 75}, Faults(loss=0.02))
+    join_all(mesh)
+    mesh.run(3)
     mesh.cuts.append(frozenset('b'))
-    mesh.run(15)
+
+    def is_excluded() -> bool:
+        return all(
+            {member.zone for member in state.members.alive()}
+            == {state.config.zone}
+            for state in mesh.list_states()
+        )
+
+    assert mesh.run_until(is_excluded, 20) <= 9
+    mesh.run(10)
     for state in mesh.list_states():
         zones = {member.zone for member in state.members.eligible()}
         assert zones == {state.config.zone}
 
 
+@pytest.mark.parametrize('seed', range(8))
+def test_lost_rack_does_not_exclude_its_zone(seed: int) -> None:
+    """Guards against a zone taken for cut off when half of it is dead."""
+    mesh = run_joined(seed, {'a': 20, 'b': 20}, Faults(loss=0.02))
+    for number in range(10):
+        mesh.kill(f'node-b-{number:04d}')
+    for _ in range(100):
+        mesh.run(0.1)
+        for state in mesh.list_states():
+            assert state.members.alive('b')
+    assert agree(mesh)
+
+
 def test_leaving_node_is_not_eligible() -> None:
     """Guards against new work for a node that is shutting down."""
     mesh = run_joined(1, {'a': 10}, Faults())
