Forget the deletions of VMs after 300,000 revisions

Change: a node drops deletions of VMs by the distance to its highest version, so nodes with the same records drop the same ones; other deletions are kept. Conclusion: memory is bounded.

--- a/apricottally/records.py
+++ b/apricottally/records.py
@@ -5,6 +5,7 @@
 an old value from a slow neighbour cannot come back.
 """
 
+import heapq
 from collections.abc import Iterable
 
 import msgspec
@@ -15,12 +16,16 @@
 from apricottally.events import Record
 
 BUCKETS = 64
+# Deletions of VMs are forgotten after so many revisions, which are about
+# three days at 100,000 a day: 2,750 VMs a day are deleted in a region. Other
+# deletions are few and are kept.
+FORGET_REVISIONS = 300_000
 
 
 class RecordStore:
     """Records by key, with a digest a bucket and one over all buckets."""
 
-    __slots__ = ('_buckets', '_keys', 'records', 'revision')
+    __slots__ = ('_buckets', '_deleted', '_keys', 'records', 'revision')
 
     def __init__(self) -> None:
         self.records: dict[str, Record] = {}
@@ -28,6 +33,8 @@
         self.revision = 0
         self._buckets = [0] * BUCKETS
         self._keys: list[set[str]] = [set() for _ in range(BUCKETS)]
+        # Versions and keys of deleted VMs, lowest version first.
+        self._deleted: list[tuple[int, str]] = []
 
     def apply(self, record: Record) -> bool:
         """Take a record if it is newer and well formed; tell whether taken.
@@ -39,6 +46,8 @@
             return False
         if record.value is not None:
             _check(record)
+        elif held is None and self._is_forgotten(record):
+            return False
         self._replace(held, record)
         return True
 
@@ -96,7 +105,34 @@
         self._buckets[bucket] ^= _fingerprint(record)
         self._keys[bucket].add(record.key)
         self.records[record.key] = record
-        self.revision = max(self.revision, record.version)
+        if record.value is None and _is_machine(record):
+            heapq.heappush(self._deleted, (record.version, record.key))
+        if record.version > self.revision:
+            self.revision = record.version
+            self._forget_deletions()
+
+    def _forget_deletions(self) -> None:
+        """Drop old deletions of VMs.
+
+        Only the revision decides, so nodes with the same records drop the
+        same ones and their digests stay equal.
+        """
+        while self._deleted:
+            version, key = self._deleted[0]
+            if version >= self.revision - FORGET_REVISIONS:
+                return
+            heapq.heappop(self._deleted)
+            held = self.records[key]
+            if held.version == version:
+                bucket = bucket_of(key)
+                self._buckets[bucket] ^= _fingerprint(held)
+                self._keys[bucket].discard(key)
+                self.records.pop(key)
+
+    def _is_forgotten(self, record: Record) -> bool:
+        """Tell whether a deletion is one that this node would drop."""
+        old = record.version < self.revision - FORGET_REVISIONS
+        return old and _is_machine(record)
 
 
 def bucket_of(key: str) -> int:
@@ -104,6 +140,10 @@
     return xxhash.xxh3_64_intdigest(key.encode()) % BUCKETS
 
 
+def _is_machine(record: Record) -> bool:
+    return record.key.startswith(model.MACHINE_PREFIX)
+
+
 def _fingerprint(record: Record) -> int:
     text = f'{record.key}\n{record.version}'
     return xxhash.xxh3_64_intdigest(text.encode())
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from apricottally import dissemination, messages, model
+from apricottally import dissemination, messages, model, records
 from apricottally.effects import Effect, SendPeer, StartWatch, StopWatch
 from apricottally.errors import InvariantError
 from apricottally.events import (
@@ -153,6 +153,41 @@
     return state.records.digest()
 
 
+@pytest.mark.parametrize('seed', range(3))
+def test_old_deletions_are_forgotten_alike(
+    seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against memory for every VM ever deleted, and odd digests."""
+    monkeypatch.setattr(records, 'FORGET_REVISIONS', 50)
+    rng = random.Random(seed)
+    machine = msgspec.json.encode(
+        model.Machine('desk', 'a', '10.1.1.1', model.MachineState.live),
+    )
+    history = []
+    for version in range(1, 600):
+        key = f'/vms/{version // 4}'
+        value = None if version % 4 == 3 else machine
+        history.append(Record(key, version, value))
+    history.append(Record(FEED, 600, None))
+    stores = []
+    for _ in range(3):
+        store = records.RecordStore()
+        late = {record: rng.uniform(0, 30) for record in history}
+        # Out of order, by less than the time until a deletion is forgotten.
+        history.sort(key=lambda each: each.version + late[each])
+        for record in history:
+            store.apply(record)
+        # What a neighbour that is behind would still push.
+        for record in sorted(history, key=lambda each: each.version):
+            if record.value is None:
+                store.apply(record)
+        stores.append(store)
+    assert {len(store.records) for store in stores} == {14}
+    assert len({store.digest() for store in stores}) == 1
+    assert stores[0].records[FEED].value is None
+
+
 def test_reverted_version_breaks_invariant(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
