--- a/apricottally/dissemination.py
+++ b/apricottally/dissemination.py
@@ -31,9 +31,13 @@
 
 @dataclass(slots=True)
 class Spread:
-    """What this node may pass on, and whether routes have to be rebuilt."""
+    """What this node may pass on, and whether routes have to be rebuilt.
+
+    `balancers` are the addresses of balancers on the VM list, by VM name.
+    """
 
     stale_routes: bool = False
+    balancers: dict[str, str] = field(default_factory=dict)
     budget: Budget = field(
         default_factory=lambda: Budget(RELAY_BYTES_PER_S, RELAY_BURST_BYTES),
     )
@@ -97,6 +101,7 @@
             continue
         if is_new:
             taken.append(record)
+            _note_balancer(state, record)
             numbering.note_record(state, record)
     if any(_is_routed(record) for record in taken):
         state.control.spread.stale_routes = True
@@ -163,6 +168,19 @@
     )
 
 
+def _note_balancer(state: NodeState, record: Record) -> None:
+    """Keep the address of a balancer; others may be joined through it."""
+    if _is_routed(record):
+        return
+    balancers = state.control.spread.balancers
+    balancers.pop(record.key, None)
+    if record.value is None:
+        return
+    machine = model.decode_json(record.value, model.Machine)
+    if not machine.service and machine.state is model.MachineState.live:
+        balancers[record.key] = machine.ip
+
+
 def _is_routed(record: Record) -> bool:
     return not record.key.startswith(model.MACHINE_PREFIX)
 
--- a/apricottally/membership.py
+++ b/apricottally/membership.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from apricottally import memberlist, messages, peers, repair
-from apricottally.addresses import Endpoint
+from apricottally.addresses import PEER_PORT, Endpoint
 from apricottally.effects import Effect, SendPeer
 from apricottally.events import Ticked
 from apricottally.members import Member, MemberState
@@ -353,7 +353,9 @@
     """Try a dead member or a seed that is not known, to heal a cut."""
     known = {member.peer for member in state.control.swim.peers.everywhere}
     known.add(state.members.own.peer)
-    unknown = [seed for seed in state.config.seeds if seed not in known]
+    listed = state.control.spread.balancers.values()
+    seeds = (*state.config.seeds, *((ip, PEER_PORT) for ip in listed))
+    unknown = [seed for seed in seeds if seed not in known]
     dead = [state.members.members[name] for name in state.control.swim.dead]
     effects: list[Effect] = []
     if dead:
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -173,13 +173,12 @@
     stores = []
     for _ in range(3):
         store = records.RecordStore()
-        late = {record: rng.uniform(0, 30) for record in history}
         # Out of order, by less than the time until a deletion is forgotten.
-        history.sort(key=lambda each: each.version + late[each])
-        for record in history:
+        late = [record.version + rng.uniform(0, 30) for record in history]
+        for _, record in sorted(zip(late, history, strict=True)):
             store.apply(record)
         # What a neighbour that is behind would still push.
-        for record in sorted(history, key=lambda each: each.version):
+        for record in history:
             if record.value is None:
                 store.apply(record)
         stores.append(store)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,9 +6,17 @@
 import pytest
 
 from apricottally import memberlist, membership, messages, swim
+from apricottally.effects import SendPeer
 from apricottally.errors import InvariantError, WireError
-from apricottally.events import PeerReceived, ShutdownRequested, Ticked
+from apricottally.events import (
+    PeerReceived,
+    Record,
+    RecordsReceived,
+    ShutdownRequested,
+    Ticked,
+)
 from apricottally.members import Member, MemberState
+from apricottally.model import Machine, MachineState
 from apricottally.reducer import reduce
 from apricottally.state import NodeState
 from bench.controldata import join_all
@@ -216,6 +224,31 @@
     assert state.members.members['x'] == (update if taken else OTHER)
 
 
+@pytest.mark.parametrize(
+    ('service', 'listed', 'asked'),
+    [('', 'live', True), ('', 'leaving', False), ('desk', 'live', False)],
+)
+def test_listed_balancer_is_a_seed(
+    service: str,
+    listed: str,
+    asked: bool,
+) -> None:
+    """Guards against nodes that never meet once all seeds are replaced."""
+    config = build_configs({'a': 1})['node-a-0000']
+    state = NodeState(config, random.Random(1))
+    reduce(state, Ticked(0, 0))
+    machine = Machine(service, 'a', '10.0.0.77', MachineState(listed))
+    record = Record('/vms/x', 2, msgspec.json.encode(machine))
+    reduce(state, RecordsReceived(1, (record,), 2, complete=True))
+    sent = [
+        effect.dest
+        for second in range(2, 20)
+        for effect in reduce(state, Ticked(second, 0))
+        if isinstance(effect, SendPeer)
+    ]
+    assert (('10.0.0.77', 6081) in sent) is asked
+
+
 def test_lower_incarnation_breaks_invariant() -> None:
     """Guards against a member table that goes back unnoticed."""
     config = build_configs({'a': 1})['node-a-0000']
