Do not extrapolate a cost below what was measured

Cause: on a busy machine the fitted slope of CPU was negative and gave -0.07% at 1,500 nodes. Change: the figure at 1,500 nodes is at least the largest measured one. Conclusion: CPU figures are to be taken on an idle machine.

--- a/bench/control.py
+++ b/bench/control.py
@@ -173,7 +173,8 @@
 ) -> Row:
     """Return a row with the values, their slope and what it leads to."""
     fit = statistics.linear_regression([each.nodes for each in figures], values)
-    region = fit.intercept + fit.slope * REGION_NODES
+    # A slope within the noise may be negative; the cost is not.
+    region = max(fit.intercept + fit.slope * REGION_NODES, *values)
     listed = ', '.join(f'{value:.3g}' for value in values)
     sizes = '/'.join(str(size) for size in SIZES)
     text = (
