Serve the whole path end to end

Cause: the tool had no module entry, so the demonstration published nothing and still passed with no flow opened. Change: the tool runs as a module; a publication that stores nothing and work of which nothing completes are broken promises.

--- a/apricottally/commands.py
+++ b/apricottally/commands.py
@@ -24,3 +24,7 @@
         return failed.status
     print_answer(answer, as_json=as_json)
     return int(answer.status)
+
+
+if __name__ == '__main__':
+    main()
--- a/demo/audit.py
+++ b/demo/audit.py
@@ -49,6 +49,7 @@
     figures['planned stop'] = f'status {seen.stop_status}, {seen.stop_s:.1f} s'
     broken = [f'{name}: {tally[name]}' for name in _FORBIDDEN if tally[name]]
     broken += list_late_changes(seen)
+    broken += list_unserved(seen.callers)
     if seen.stop_status != 0:
         broken.append(f'planned stop: exit status {seen.stop_status}')
     return Findings(figures, tuple(broken))
@@ -119,6 +120,15 @@
     return set(callers.completed_ids).difference(entry.id for entry in entries)
 
 
+def list_unserved(callers: ClientReport) -> list[str]:
+    """Return the work of which nothing was completed."""
+    return [
+        f'{name}: nothing completed'
+        for name, work in callers.works.items()
+        if not work.tally.completed
+    ]
+
+
 def measure_imbalance(
     service: str,
     journals: list[JournalReport],
--- a/demo/publisher.py
+++ b/demo/publisher.py
@@ -47,7 +47,10 @@
             status = await processes.wait(process, PUBLISH_TIMEOUT_S)
         if status != 0:
             raise DemoError(f'publish {kind} {name}: exit status {status}')
-        return await self._store.read_version(record_key(kind, name))
+        version = await self._store.read_version(record_key(kind, name))
+        if not version:
+            raise DemoError(f'publish {kind} {name}: nothing was stored')
+        return version
 
 
 def record_key(kind: str, name: str) -> str:
