--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,7 +8,7 @@
 from bench.rows import Row
 
 # Modules with a function `measure(seed) -> list[Row]`, in table order.
-MODULES: tuple[str, ...] = ()
+MODULES: tuple[str, ...] = ('packets',)
 
 PAGE = Path('docs/BENCH.md')
 HEADER = """# Measurements
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -31,11 +31,11 @@
     zone: str = ZONE,
     subnet: int = 1,
 ) -> Backend:
-    """Return a backend at 127.SUBNET.0.NUMBER+1."""
+    """Return a backend at its own address of 127.SUBNET."""
     return Backend(
         number=number,
         name=f'vm-{subnet}-{number}',
-        ip=f'127.{subnet}.{number >> 8}.{(number & 255) + 1}',
+        ip=f'127.{subnet}.{number // 250}.{number % 250 + 1}',
         zone=zone,
         slots=2,
         connections=2000,
@@ -108,6 +108,7 @@
     members: tuple[Member, ...],
     records: tuple[Record, ...],
     seed: int = 1,
+    gateway: Endpoint = GATEWAY,
 ) -> NodeState:
     """Return a strict node that knows these members and records."""
     own = build_member(index)
@@ -117,7 +118,7 @@
         ip=own.ip,
         packet_port=own.packet_port,
         peer_port=own.peer_port,
-        gateway=GATEWAY,
+        gateway=gateway,
         strict=True,
     )
     state = NodeState(config, random.Random(seed))
