Check the handshake in every order of events

Change: checking/ explores one caller, two owners and two backends, with packets made and routed by packet.py and the reducer; a packet once sent may arrive at any time, any number of times or never. `python -m checking` prints the outcome and, for each rule broken on purpose, a shortest run that shows it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 STEPS ?= 20000
-CODE := apricottally standins demo bench tests
+CODE := apricottally standins demo bench checking tests
 
 export PYTHONPATH := $(CURDIR)
 
--- /dev/null
+++ b/checking/wire.py
@@ -0,0 +1,153 @@
+"""The model's packets, made and routed by the product's own code.
+
+Every result depends only on its arguments and is kept, so that exploring
+costs one run of the code for each different packet.
+"""
+
+from functools import cache
+
+from apricottally import gue, packet
+from apricottally.model import BackendState
+from apricottally.packet import ACK, RST, SYN, Segment
+from apricottally.state import NodeState
+from bench import fleet
+
+BACKENDS = 2
+# The SYN carries a payload, as TCP Fast Open allows.
+SYN_PACKET = fleet.build_request(SYN, payload=b'early', seq=1000)
+FIRST_SEQUENCE = 1001
+PAYLOAD = b'submission'
+_ISN_STEP = 10_000
+# Within the first window, and no multiple of a usual segment size.
+_WINDOW_PART = 32_749
+_CLOCK_STEP = 1_000_000
+
+
+@cache
+def parse(inner: bytes) -> Segment:
+    """Parse a packet by `packet.parse`."""
+    return packet.parse(inner, 0)
+
+
+@cache
+def strip_syn() -> bytes:
+    """Return the SYN as an owner sends it on (`packet.strip_payload`)."""
+    return packet.strip_payload(SYN_PACKET, parse(SYN_PACKET))
+
+
+@cache
+def refuse_syn() -> bytes:
+    """Return the refusal of the SYN (`packet.refuse_syn`)."""
+    return packet.refuse_syn(parse(SYN_PACKET))
+
+
+@cache
+def refuse_data(inner: bytes) -> bytes:
+    """Return a wrong refusal: a reset that an established caller takes."""
+    return packet.reset_sender(parse(inner))
+
+
+def find_isn(backend: int, incarnation: int) -> int:
+    """Return the initial sequence of a backend's connection."""
+    return _ISN_STEP * (BACKENDS * incarnation + backend + 1)
+
+
+@cache
+def build_syn_ack(backend: int, incarnation: int) -> bytes:
+    """Return a backend's SYN-ACK, without a number yet."""
+    return packet.build(
+        fleet.ADDRESS,
+        fleet.PORT,
+        *fleet.CALLER,
+        find_isn(backend, incarnation),
+        FIRST_SEQUENCE,
+        SYN | ACK,
+        packet.encode_timestamps(_CLOCK_STEP * (backend + 1) + 77, 1),
+    )
+
+
+@cache
+def number_syn_ack(inner: bytes, backend: int) -> bytes:
+    """Return the SYN-ACK as an owner passes it on (`write_number`)."""
+    return packet.write_number(inner, parse(inner), backend)
+
+
+@cache
+def answer_syn_ack(inner: bytes) -> tuple[bytes, bytes]:
+    """Return the caller's last packet of the handshake and its request."""
+    segment = parse(inner)
+    options = packet.encode_timestamps(2, segment.ts_val)
+    fields = (
+        *fleet.CALLER,
+        fleet.ADDRESS,
+        fleet.PORT,
+        FIRST_SEQUENCE,
+        segment.seq + 1,
+        ACK,
+        options,
+    )
+    return packet.build(*fields), packet.build(*fields, PAYLOAD)
+
+
+@cache
+def route(inner: bytes) -> tuple[int, bytes]:
+    """Return the backend that gets a caller's packet, and what it gets.
+
+    The decision is that of the reducer of a node.
+    """
+    sent = fleet.receive(_build_node(), inner)
+    (ip, _port), datagram = fleet.sent_packet(sent)
+    ips = [fleet.build_backend(number).ip for number in range(BACKENDS)]
+    return ips.index(ip), datagram[gue.PLAIN_LENGTH :]
+
+
+@cache
+def answer_retired(inner: bytes) -> bytes:
+    """Return the answer of a node for which all backends are retired."""
+    node = _build_node(BackendState.retired)
+    _, datagram = fleet.sent_packet(fleet.receive(node, inner))
+    return datagram[gue.PLAIN_LENGTH :]
+
+
+@cache
+def reset_unknown(inner: bytes) -> bytes:
+    """Return the reset of a backend that has no such connection."""
+    return packet.reset_sender(parse(inner))
+
+
+@cache
+def shed_syn() -> bytes:
+    """Return the reset of a backend that does not accept the SYN."""
+    return packet.refuse_syn(parse(strip_syn()))
+
+
+@cache
+def is_reset(inner: bytes) -> bool:
+    """Tell whether a packet is a reset."""
+    return bool(parse(inner).flags & RST)
+
+
+@cache
+def cancel_syn(*, exact: bool) -> bytes:
+    """Return the reset that cancels the SYN at a backend."""
+    inner = strip_syn()
+    if exact:
+        return packet.reset_receiver(parse(inner))
+    return packet.build(
+        *fleet.CALLER,
+        fleet.ADDRESS,
+        fleet.PORT,
+        FIRST_SEQUENCE + _WINDOW_PART,
+        0,
+        RST,
+    )
+
+
+def _build_node(state: BackendState = BackendState.active) -> NodeState:
+    node = fleet.build_node(1, (), fleet.list_records(BACKENDS))
+    backends = tuple(
+        fleet.build_backend(number, state) for number in range(BACKENDS)
+    )
+    record = fleet.record_backends(fleet.SERVICE, 2, backends)
+    fleet.apply_records(node, (record,))
+    return node
