Leave SYNs for unknown addresses to their retransmission

Cause: a SYN handed over as unknown was admitted by a member that does not own the shard, uncounted by the owner, and its SYN-ACK went to the true owner. Change: strays with SYN are dropped with their reason; the outbound check's cause is a msgspec struct. The test fails without the rule.

--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -302,12 +302,8 @@
     segment: Segment,
     handover: Handover | None,
 ) -> list[Effect]:
-    """Handle a reply from an address that is no backend of the service.
-
-    A SYN-ACK is not handed over: only the owner that chose the backend may
-    pass it on, and the backend sends it again.
-    """
-    if source in state.routes.service_of_ip or segment.flags & packet.SYN:
+    """Handle a reply from an address that is no backend of the service."""
+    if source in state.routes.service_of_ip:
         return drop(state, 'foreign_reply')
     return receive_stray(state, event, segment, handover, 'foreign_reply')
 
--- a/apricottally/outbound.py
+++ b/apricottally/outbound.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from apricottally import gue, packet
 from apricottally.effects import Effect, SendPacket
 from apricottally.gue import Handover
@@ -20,8 +21,7 @@
 _REFUSAL = packet.RST | packet.ACK
 
 
-@dataclass(frozen=True, slots=True)
-class Cause:
+class Cause(msgspec.Struct, frozen=True, gc=False):
     """The received packet that led to the effects."""
 
     datagram: bytes
--- a/apricottally/strays.py
+++ b/apricottally/strays.py
@@ -58,9 +58,11 @@
 ) -> list[Effect]:
     """Hand a packet over to another member, or drop it for `reason`.
 
-    A packet that was handed over already is dropped.
+    A packet that was handed over already is dropped. So is one with SYN: any
+    member would admit it as if it owned the shard, and the SYN-ACK would go
+    to the true owner, which knows nothing of it.
     """
-    if handover is not None:
+    if handover is not None or segment.flags & packet.SYN:
         return drop(state, reason)
     member = _choose_member(state, event.payload, segment)
     if member is None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -129,6 +129,7 @@
         (plain(fleet.build_request(SYN | FIN)), 'foreign_flags'),
         (plain(fleet.build_reply(), FOREIGN), 'foreign_reply'),
         (plain(fleet.build_reply(SYN | ACK), NEW_SOURCE), 'foreign_reply'),
+        (plain(fleet.build_request(SYN, port=1)), 'unknown_address'),
         (
             hand(Direction.backend, fleet.build_reply(SYN)),
             'foreign_flags',
