Charge refusals to their workspace, and keep a larger SYN bucket

Cause: within a class, the short bursts of workspaces below their share were served in turn with a flooding workspace, and ran into their deadline in small shards. A bucket of 5 SYNs left 2 for urgent SYNs that arrive together.

Change: each refusal raises the cost of the workspace's next entry, by at most 4. The SYN bucket holds at least 32. Mean run times change more slowly.

--- a/apricottally/admission.py
+++ b/apricottally/admission.py
@@ -38,9 +38,9 @@
     known = admissions.flows.get(key)
     if known is not None and not _is_replaced(known, segment):
         return _repeat_syn(state, known, segment, datagram)
-    if not admissions.budget.spend(now, route.template.urgency):
-        attempts.note_refusal(state, now, route, key, 'node_overload')
-        return refuse(state, segment, 'node_overload')
+    refusal = screen_syn(state, now, route, segment, key)
+    if refusal:
+        return refusal
     owned = ownership.find(state, now, route.service, shard)
     if not owned.active:
         attempts.note_refusal(state, now, route, key, 'no_backend')
@@ -53,6 +53,24 @@
     )
 
 
+def screen_syn(
+    state: NodeState,
+    now: float,
+    route: Route,
+    segment: Segment,
+    key: bytes,
+) -> list[Effect]:
+    """Refuse a SYN beyond the node's budget; nothing if it may go on.
+
+    The owner does it first of all. A node that hands SYNs over may do it too,
+    so that a flood costs neither the hand-over nor the owner's time.
+    """
+    if state.admissions.budget.spend(now, route.template.urgency):
+        return []
+    attempts.note_refusal(state, now, route, key, 'node_overload')
+    return refuse(state, segment, 'node_overload')
+
+
 def receive_syn_ack(
     state: NodeState,
     now: float,
--- a/apricottally/attempts.py
+++ b/apricottally/attempts.py
@@ -155,6 +155,10 @@
     )
     state.counters.add('refused', reason)
     decide(state, now, flow, 'refuse', reason)
+    if not flow.tried:
+        route = flow.route
+        queue = flow.owned.queues[flow.holds]
+        queue.charge(route.template.urgency, route.workspace)
     flow.refusal = reason
     if flow.tried:
         finish(state, now, flow)
--- a/apricottally/fairqueue.py
+++ b/apricottally/fairqueue.py
@@ -16,6 +16,8 @@
 # Classes in the order in which they are served.
 CLASSES = tuple(Urgency)
 RANKS = {urgency: rank for rank, urgency in enumerate(CLASSES)}
+# Refusals that a workspace pays for at most with its next entry.
+MAX_CHARGE = 4
 # Finish tags of idle workspaces are dropped when this many are held.
 _KEPT_TAGS = 256
 
@@ -115,6 +117,15 @@
                 expired.append(self._withdraw(rank, tag, seq))
         return expired
 
+    def charge(self, urgency: Urgency, workspace: str) -> None:
+        """Let a workspace pay for a refusal with its next entry.
+
+        A workspace that sends more than its share then stands behind short
+        bursts of those that do not.
+        """
+        charges = self._classes[RANKS[urgency]].charges
+        charges[workspace] = min(charges.get(workspace, 0) + 1, MAX_CHARGE)
+
     def count_ahead(self, urgency: Urgency, workspace: str) -> list[int]:
         """Return how many entries a new one would wait for, by class."""
         rank = RANKS[urgency]
@@ -128,7 +139,8 @@
         self._seq += 1
         tags = self._classes[rank]
         insort(tags.order, (tag, self._seq))
-        tags.finish[entry.workspace] = tag + 1 / entry.share
+        cost = 1 + tags.charges.pop(entry.workspace, 0)
+        tags.finish[entry.workspace] = tag + cost / entry.share
         owner = rank, entry.workspace
         self._counts[owner] = self._counts.get(owner, 0) + 1
         self._entries[self._seq] = entry
@@ -177,11 +189,12 @@
     `order` holds the start tag and sequence number of each waiting entry.
     """
 
-    __slots__ = ('finish', 'order', 'virtual')
+    __slots__ = ('charges', 'finish', 'order', 'virtual')
 
     def __init__(self) -> None:
         self.order: list[tuple[float, int]] = []
         self.finish: dict[str, float] = {}
+        self.charges: dict[str, int] = {}
         self.virtual = float(0)
 
     def start_tag(self, workspace: str) -> float:
@@ -201,3 +214,4 @@
                 for workspace, finish in self.finish.items()
                 if finish > self.virtual
             }
+            self.charges.clear()
--- a/apricottally/flows.py
+++ b/apricottally/flows.py
@@ -23,7 +23,7 @@
 # Bytes that a flow may have sent before its end is taken for an older one's.
 _MAX_ACKNOWLEDGED = 1 << 30
 # Weight of the last run in the mean run time of a class.
-_RUN_WEIGHT = 0.1
+_RUN_WEIGHT = 0.02
 
 
 class Phase(enum.Enum):
--- a/apricottally/overload.py
+++ b/apricottally/overload.py
@@ -6,6 +6,9 @@
 DEFAULT_SYNS_PER_S = 5000.0
 # Tokens saved up at most, as seconds of the budget.
 BURST_S = 0.1
+# Tokens that the bucket holds at least: of a smaller one, too few are kept for
+# urgent SYNs that arrive together by chance.
+MIN_BURST = 32.0
 # Part of the bucket that a class must leave for more urgent ones.
 _RESERVES = {
     Urgency.urgent: float(0),
@@ -21,7 +24,7 @@
 
     def __init__(self, syns_per_s: float = DEFAULT_SYNS_PER_S) -> None:
         self._rate = syns_per_s
-        self._burst = max(syns_per_s * BURST_S, 4)
+        self._burst = max(syns_per_s * BURST_S, MIN_BURST)
         self._tokens = self._burst
         self._updated = float(0)
 
--- a/tests/test_fairqueue.py
+++ b/tests/test_fairqueue.py
@@ -72,6 +72,20 @@
     assert drain(queue) == ['u-b-1', 'u-a-20', 'u-b-2']
 
 
+def test_refusals_are_charged() -> None:
+    """Guards against a flood that breaks up others' short bursts."""
+    queue: FairQueue[str] = FairQueue(100)
+    for index in range(3):
+        queue.push(build_entry(f'u-a-{index}'))
+        for _ in range(10):
+            queue.charge(Urgency.urgent, 'a')
+    for index in range(6):
+        queue.push(build_entry(f'u-b-{index}'))
+    order = [item[2] for item in drain(queue)]
+    # The charge is bounded: an entry costs at most five.
+    assert ''.join(order) == 'ababbbbba'
+
+
 @pytest.mark.parametrize(
     ('held', 'pushed', 'refused', 'displaced'),
     [
