Add the control service and the commands that ask nodes

Cause: operators need to see what a node holds, whether a published version is in force everywhere, to drain a node and to ask why a flow goes where it goes; nodes need to pull records from neighbours.

`apricottally status`, `drain` and `why` take `--node` repeatedly. `explain_flow` names route, number, backend, shard, owner and the kept decisions. A deletion now prints its version as well.

--- a/apricottally/commandline.py
+++ b/apricottally/commandline.py
@@ -5,7 +5,13 @@
 from pathlib import Path
 from typing import TypeAlias
 
-from apricottally import addresses, configcommands, publishing, showing
+from apricottally import (
+    addresses,
+    configcommands,
+    nodecommands,
+    publishing,
+    showing,
+)
 from apricottally.operatorfiles import KINDS
 from apricottally.output import Answer, ExitStatus
 
@@ -54,7 +60,7 @@
     ExitStatus.platform_failed: 'platform did not answer; nothing written',
     ExitStatus.outcome_unknown: 'the change may or may not be accepted',
     ExitStatus.node_unreachable: 'a node did not answer',
-    ExitStatus.not_in_force: 'a node does not have the version in time',
+    ExitStatus.not_in_time: 'not in force, or not stopped, within --wait',
     ExitStatus.differs: 'diff: the file differs from what is stored',
     ExitStatus.not_found: 'there is no such key',
 }
@@ -97,6 +103,7 @@
     )
     _add_file_commands(commands)
     _add_key_commands(commands)
+    _add_node_commands(commands)
     return parser
 
 
@@ -156,6 +163,78 @@
     show.add_argument('name', nargs='?', metavar='NAME')
 
 
+def _add_node_commands(commands: Parsers) -> None:
+    status = _add(
+        commands,
+        'status',
+        nodecommands.status,
+        'ask nodes what they are and hold; with --key and --version, '
+        'whether that version is in force on each',
+    )
+    _add_nodes(status)
+    status.add_argument('--key', help='key, such as /apricottally/workspaces/a')
+    status.add_argument(
+        '--version',
+        type=int,
+        default=1,
+        help='version that has to be in force, or a later one',
+    )
+    _add_wait(status, 'until it is in force')
+    drain = _add(
+        commands,
+        'drain',
+        nodecommands.drain,
+        'ask nodes for a graceful shutdown, which cuts no flow',
+    )
+    _add_nodes(drain)
+    _add_wait(drain, 'until they have stopped')
+    why = _add(
+        commands,
+        'why',
+        nodecommands.why,
+        'ask nodes what they do with a flow, and what they did lately',
+    )
+    _add_nodes(why)
+    why.add_argument(
+        'caller',
+        type=addresses.parse_endpoint,
+        metavar='CALLER_IP:PORT',
+    )
+    why.add_argument(
+        'service',
+        type=addresses.parse_endpoint,
+        metavar='SERVICE_IP:PORT',
+    )
+    why.add_argument(
+        '--ts-ecr',
+        type=int,
+        default=0,
+        metavar='NUMBER',
+        help="TSecr of one of the caller's packets, which names the backend",
+    )
+
+
+def _add_nodes(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--node',
+        type=addresses.parse_endpoint,
+        action='append',
+        required=True,
+        metavar='IP:PORT',
+        help="control endpoint of a node's settings; may be repeated",
+    )
+
+
+def _add_wait(parser: argparse.ArgumentParser, until: str) -> None:
+    parser.add_argument(
+        '--wait',
+        type=float,
+        default=0,
+        metavar='SECONDS',
+        help=f'how long to wait {until} (default: 0)',
+    )
+
+
 def _add(
     commands: Parsers,
     name: str,
--- a/apricottally/configcommands.py
+++ b/apricottally/configcommands.py
@@ -258,11 +258,13 @@
             f'accepted: {key}, operation {published.op}; a later write has '
             'replaced it since'
         )
-    if published.outcome is Outcome.deleted:
-        return f'deleted: {key}, was version {published.former_version}'
+    deleted = published.outcome is Outcome.deleted
+    done = f'{"deleted" if deleted else "accepted"}: {key}'
+    if not version:
+        return f'{done} does not exist any more'
     return (
-        f'accepted: {key} version {version} (was '
-        f'{published.former_version}), operation {published.op}\n'
+        f'{done} version {version} (was {published.former_version}), '
+        f'operation {published.op}\n'
         'See whether it is in force: apricottally status --node IP:PORT '
         f'--wait 7 --key {key} --version {version}'
     )
--- /dev/null
+++ b/apricottally/controlservice.py
@@ -0,0 +1,208 @@
+"""Control service of a node: what the tool and other nodes ask it."""
+
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+
+from apricottally import addresses, packet
+from apricottally import control_pb2 as pb
+from apricottally.addresses import Endpoint
+from apricottally.control_grpc import NodeBase
+from apricottally.events import Event, Record, ShutdownRequested
+from apricottally.explanation import Decision, Explanation, explain_flow
+from apricottally.records import BUCKETS
+from apricottally.state import NodeState
+
+
+@dataclass(frozen=True, slots=True)
+class Hooks:
+    """What the service needs from the driver around the state.
+
+    `submit` takes an event, `read_clock` returns monotonic seconds.
+    """
+
+    submit: Callable[[Event], None]
+    read_clock: Callable[[], float]
+    is_ready: Callable[[], bool]
+    is_watching: Callable[[], bool]
+
+
+class ControlService(NodeBase):
+    """The Node service; it reads the state and changes nothing in it."""
+
+    def __init__(self, state: NodeState, hooks: Hooks) -> None:
+        self._state = state
+        self._hooks = hooks
+
+    async def Status(self, stream: Any) -> None:
+        """Say what the node is, holds and counts."""
+        await stream.recv_message()
+        state = self._state
+        response = pb.StatusResponse(
+            node=state.config.name,
+            zone=state.config.zone,
+            ready=self._hooks.is_ready(),
+            stopping=state.stopping,
+            revision=state.records.revision,
+            records=_list_versions(state),
+            members=_list_members(state),
+            counters=_list_counters(state),
+            backends=_list_loads(state),
+            watching=self._hooks.is_watching(),
+        )
+        await stream.send_message(response)
+
+    async def Why(self, stream: Any) -> None:
+        """Explain what the node does with a flow."""
+        request = await stream.recv_message()
+        try:
+            caller_ip = addresses.parse_ip(request.caller_ip)
+            service_ip = addresses.parse_ip(request.service_ip)
+        except ValueError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+        key = packet.flow_key(
+            caller_ip,
+            request.caller_port & addresses.LAST_PORT,
+            service_ip,
+            request.service_port & addresses.LAST_PORT,
+        )
+        explained = explain_flow(
+            self._state,
+            key,
+            service_ip,
+            request.service_port,
+            request.ts_ecr,
+        )
+        await stream.send_message(self._encode(explained))
+
+    async def Drain(self, stream: Any) -> None:
+        """Ask the node for a graceful shutdown; asked again, do nothing."""
+        await stream.recv_message()
+        if not self._state.stopping:
+            self._hooks.submit(ShutdownRequested(self._hooks.read_clock()))
+        await stream.send_message(pb.DrainResponse(accepted=True))
+
+    async def Pull(self, stream: Any) -> None:
+        """Return all records of the buckets asked for."""
+        request = await stream.recv_message()
+        if any(bucket >= BUCKETS for bucket in request.buckets):
+            problem = f'buckets must be below {BUCKETS}'
+            raise GRPCError(Status.INVALID_ARGUMENT, problem)
+        records = self._state.records.list_buckets(request.buckets)
+        entries = [_encode_record(record) for record in records]
+        await stream.send_message(pb.PullResponse(records=entries))
+
+    def _encode(self, explained: Explanation) -> pb.WhyResponse:
+        now = self._hooks.read_clock()
+        return pb.WhyResponse(
+            node=self._state.config.name,
+            workspace=explained.workspace,
+            template=explained.template,
+            service=explained.service,
+            version=explained.version,
+            shard=explained.shard,
+            owner=explained.owner,
+            number=explained.number,
+            backend=explained.backend,
+            rule=explained.rule,
+            decisions=[
+                _encode_decision(decision, now)
+                for decision in explained.decisions
+            ],
+        )
+
+
+@asynccontextmanager
+async def open_control(
+    state: NodeState,
+    hooks: Hooks,
+    endpoint: Endpoint,
+) -> AsyncIterator[Endpoint]:
+    """Serve an endpoint (port 0: any) and yield the one that is served."""
+    # asyncio sets TCP_NODELAY only on sockets whose protocol is named.
+    listener = socket.socket(
+        socket.AF_INET,
+        socket.SOCK_STREAM,
+        socket.IPPROTO_TCP,
+    )
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(endpoint)
+    async with AsyncExitStack() as stack:
+        server = Server([ControlService(state, hooks)])
+        await server.start(sock=listener)
+        stack.push_async_callback(server.wait_closed)
+        stack.callback(server.close)
+        yield listener.getsockname()
+
+
+def _encode_decision(decision: Decision, now: float) -> pb.DecisionEntry:
+    return pb.DecisionEntry(
+        age_s=now - decision.now,
+        action=decision.action,
+        rule=decision.rule,
+        number=decision.number,
+        version=decision.version,
+    )
+
+
+def _encode_record(record: Record) -> pb.RecordEntry:
+    return pb.RecordEntry(
+        key=record.key,
+        version=record.version,
+        value=record.value or b'',
+        deleted=record.value is None,
+    )
+
+
+def _list_versions(state: NodeState) -> list[pb.RecordVersion]:
+    return [
+        pb.RecordVersion(key=record.key, version=record.version)
+        for record in state.records.records.values()
+    ]
+
+
+def _list_members(state: NodeState) -> list[pb.MemberEntry]:
+    return [
+        pb.MemberEntry(
+            name=member.name,
+            zone=member.zone,
+            ip=member.ip,
+            state=member.state.name,
+            incarnation=member.incarnation,
+        )
+        for member in state.members.members.values()
+    ]
+
+
+def _list_counters(state: NodeState) -> list[pb.Counter]:
+    return [
+        pb.Counter(name=name, reason=reason, count=count)
+        for (name, reason), count in sorted(state.counters.counts.items())
+    ]
+
+
+def _list_loads(state: NodeState) -> list[pb.BackendLoad]:
+    """Return the load of backends whose shards this node owns."""
+    counts = state.admissions.open
+    loads = []
+    for service in state.routes.services.values():
+        for number, backend in sorted(service.backends.items()):
+            shard = service.shard_of.get(number)
+            if shard is None or not state.owners.owns(shard.name, shard.zone):
+                continue
+            load = pb.BackendLoad(
+                service=service.name,
+                number=number,
+                name=backend.name,
+                zone=backend.zone,
+                state=backend.state.value,
+                open_flows=counts.get((service.name, number), 0),
+            )
+            loads.append(load)
+    return loads
--- a/apricottally/explanation.py
+++ b/apricottally/explanation.py
@@ -1,7 +1,17 @@
 """Recent decisions of a node, kept so that an operator can ask why."""
 
+from __future__ import annotations
+
 from collections import deque
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from apricottally import packet, shards
+
+if TYPE_CHECKING:
+    from apricottally.routes import Service
+    from apricottally.shards import Shard
+    from apricottally.state import NodeState
 
 # Decisions kept; at about 200 bytes each they take less than 1 MB.
 KEPT_DECISIONS = 4096
@@ -40,3 +50,83 @@
     def find(self, key: bytes) -> list[Decision]:
         """Return the kept decisions about a flow, oldest first."""
         return [decision for decision in self._ring if decision.key == key]
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """How this node handles a flow.
+
+    Names are empty and `number` is -1 where nothing applies. `version` is
+    that of the service's backend numbers. `rule` says how the backend is
+    found, or why there is none.
+    """
+
+    rule: str
+    workspace: str = ''
+    template: str = ''
+    service: str = ''
+    version: int = 0
+    shard: str = ''
+    owner: str = ''
+    number: int = -1
+    backend: str = ''
+    decisions: tuple[Decision, ...] = ()
+
+
+def explain_flow(
+    state: NodeState,
+    key: bytes,
+    service_ip: int,
+    service_port: int,
+    ts_ecr: int,
+) -> Explanation:
+    """Explain a flow by its key; `ts_ecr` 0 stands for its first packet."""
+    route = state.routes.find(service_ip, service_port)
+    if route is None:
+        return Explanation('unknown_address')
+    decisions = tuple(state.decisions.find(key))
+    if ts_ecr:
+        shard, number, rule = _find_by_number(route.service, ts_ecr)
+    else:
+        shard, number, rule = _find_by_shard(route.service, key, decisions)
+    backend = route.service.backends.get(number)
+    owner = state.owners.find(shard.name, shard.zone).name if shard else ''
+    return Explanation(
+        rule=rule,
+        workspace=route.workspace,
+        template=route.template_name,
+        service=route.service.name,
+        version=route.service.version,
+        shard=shard.name if shard else '',
+        owner=owner,
+        number=number,
+        backend=backend.name if backend else '',
+        decisions=decisions,
+    )
+
+
+def _find_by_number(
+    service: Service,
+    ts_ecr: int,
+) -> tuple[Shard | None, int, str]:
+    """Return where an established packet goes: to the number it carries."""
+    number = ts_ecr & packet.NUMBER_MASK
+    shard = service.shard_of.get(number)
+    if number in service.endpoints:
+        return shard, number, 'by_number'
+    known = number in service.backends
+    return shard, number, 'backend_gone' if known else 'unknown_number'
+
+
+def _find_by_shard(
+    service: Service,
+    key: bytes,
+    decisions: tuple[Decision, ...],
+) -> tuple[Shard | None, int, str]:
+    """Return which shard a first packet goes to, and who was chosen last."""
+    shard = shards.choose_shard(service.shards, key)
+    if shard is None:
+        return None, -1, 'no_backend'
+    if decisions:
+        return shard, decisions[-1].number, decisions[-1].rule
+    return shard, -1, 'by_shard'
--- a/apricottally/output.py
+++ b/apricottally/output.py
@@ -21,7 +21,7 @@
     platform_failed = 6
     outcome_unknown = 7
     node_unreachable = 8
-    not_in_force = 9
+    not_in_time = 9
     differs = 10
     not_found = 11
 
