--- /dev/null
+++ b/apricottally/node.py
@@ -0,0 +1,72 @@
+"""A running node: turns what the shell receives into events."""
+
+import asyncio
+import time
+
+from apricottally import dissemination
+from apricottally.addresses import Endpoint
+from apricottally.driver import Driver
+from apricottally.effects import LogValue
+from apricottally.events import (
+    Event,
+    LoadReport,
+    LoadReported,
+    PacketReceived,
+    PeerReceived,
+    ShutdownRequested,
+    Ticked,
+)
+from apricottally.logs import EventLog
+from apricottally.state import NodeState
+
+
+class Node:
+    """A running node: its state, its driver and how it ended."""
+
+    def __init__(self, state: NodeState) -> None:
+        self.state = state
+        self.loop = asyncio.get_running_loop()
+        self.exited: asyncio.Future[int] = self.loop.create_future()
+        self.driver = Driver(state, {})
+        self._log = EventLog()
+
+    def submit(self, event: Event) -> None:
+        """Apply one event."""
+        self.driver.submit(event)
+
+    def receive_packet(self, payload: bytes, source: Endpoint) -> None:
+        """Take a datagram of the packet socket."""
+        self.driver.submit(PacketReceived(self.loop.time(), source, payload))
+
+    def receive_peer(self, payload: bytes, source: Endpoint) -> None:
+        """Take a datagram of the peer socket."""
+        self.driver.submit(PeerReceived(self.loop.time(), source, payload))
+
+    def receive_load(self, ip: str, report: LoadReport | None) -> None:
+        """Take the end of a poll."""
+        self.driver.submit(LoadReported(self.loop.time(), ip, report))
+
+    def shut_down(self) -> None:
+        """Ask for a graceful shutdown; a second time, end at once."""
+        self.driver.submit(ShutdownRequested(self.loop.time()))
+
+    def log(self, event: str, fields: dict[str, LogValue]) -> None:
+        """Write a structured log record."""
+        self._log.write(self.loop.time(), event, fields)
+
+    def tick(self) -> None:
+        """Let the reducer act on the time that has passed."""
+        now = self.loop.time()
+        self.driver.submit(Ticked(now, time.time()))
+        self._log.flush(now)
+
+    def finish(self, status: int) -> None:
+        """Note the status that the process ends with."""
+        if not self.exited.done():
+            self.exited.set_result(status)
+
+    def is_ready(self) -> bool:
+        """Tell whether the node should get packets from the fabric."""
+        if self.state.stopping:
+            return False
+        return dissemination.is_ready(self.state)
