Limit challenge acknowledgements and name faulty flows

Cause: two ends that each find the other's number wrong could answer each other for ever; and a broken promise did not say which flow it was. Change: an empty unacceptable packet is answered twice a second at most (RFC 5961, section 7); the demonstration prints the first faulty flows. Conclusion: no loop of acknowledgements between two stand-ins.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -31,21 +31,29 @@
 def main() -> None:
     """Run the demonstration."""
     parser = argparse.ArgumentParser(prog='demo', description=__doc__)
-    parser.add_argument('--logs', type=Path, help='directory for the logs')
+    parser.add_argument(
+        '--logs', type=Path, help='directory that keeps the logs'
+    )
     options = parser.parse_args()
     started = time.monotonic()
     with choose_folder(options.logs) as folder:
-        findings = asyncio.run(run_all(folder))
+        findings = run_or_exit(folder)
     print(format_table(findings))
     print(f'took {time.monotonic() - started:.1f} s')
-    broken = [
-        f'{name}: {promise}'
-        for name, found in findings.items()
-        for promise in found.broken
-    ]
-    for line in broken:
-        print(f'BROKEN {line}')
-    sys.exit(1 if broken else 0)
+    for name, found in findings.items():
+        for promise in found.broken:
+            print(f'BROKEN {name}: {promise}')
+        for fault in found.faults:
+            print(f'FLOW {name}: {fault}')
+    sys.exit(any(found.broken for found in findings.values()))
+
+
+def run_or_exit(folder: Path) -> dict[str, Findings]:
+    """Run all deployments; a signal ends them and the launcher."""
+    try:
+        return asyncio.run(run_all(folder))
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        sys.exit('stopped by a signal')
 
 
 @contextlib.contextmanager
--- a/demo/audit.py
+++ b/demo/audit.py
@@ -13,10 +13,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Findings:
-    """The figures of a run and the promises that it broke."""
+    """The figures of a run and the promises that it broke.
+
+    `faults` names the first flows that went wrong.
+    """
 
     figures: dict[str, str]
     broken: tuple[str, ...]
+    faults: tuple[str, ...] = ()
 
 
 def audit(deployment: Deployment, seen: Observations) -> Findings:
@@ -51,9 +55,11 @@
     broken += list_late_changes(seen)
     if seen.stop_status != 0:
         broken.append(f'planned stop: exit status {seen.stop_status}')
-    return Findings(figures, tuple(broken))
+    faults = seen.callers.faults[:_SHOWN_FAULTS]
+    return Findings(figures, tuple(broken), tuple(faults))
 
 
+_SHOWN_FAULTS = 10
 _FORBIDDEN = (
     'broken',
     'doubled',
--- a/standins/tcp.py
+++ b/standins/tcp.py
@@ -23,6 +23,10 @@
 from standins.tcpoutput import Flow, Output, TcpConfig, TimestampClock
 from standins.tcpsending import Sender
 
+# Without a limit, two ends that each find the other's number wrong would
+# answer each other's acknowledgements for ever (RFC 5961, 7).
+CHALLENGE_INTERVAL_S = 0.5
+
 
 class State(enum.Enum):
     """States of RFC 9293; `open` covers those that carry data."""
@@ -101,6 +105,7 @@
     """
 
     __slots__ = (
+        '_challenged',
         '_iss',
         '_output',
         '_receiver',
@@ -121,6 +126,7 @@
         self.config = config
         self.state = State.closed
         self.outcome = Outcome.none
+        self._challenged: float | None = None
         self._iss = iss & SEQUENCE_MASK
         self._output = Output(flow, clock, outbox, config)
         self._sender = Sender(advance(iss, 1), self._output, config)
@@ -208,7 +214,7 @@
         if verdict is Verdict.accept:
             self._receive_accepted(now, segment, payload)
         elif verdict is Verdict.acknowledge:
-            self._repeat_answer(now, segment)
+            self._repeat_answer(now, segment, length)
         elif verdict is Verdict.reset:
             self._end(Outcome.reset)
 
@@ -276,15 +282,23 @@
             self.outcome = Outcome.done
             self._sender.timer.restart(now, self.config.time_wait_s)
 
-    def _repeat_answer(self, now: float, segment: Segment) -> None:
-        """Repeat the SYN-ACK for a repeated SYN, else acknowledge."""
+    def _repeat_answer(self, now: float, segment: Segment, length: int) -> None:
+        """Repeat the SYN-ACK for a repeated SYN, else acknowledge.
+
+        Empty packets are answered at a limited rate.
+        """
         if self.state is State.time_wait:
             self._sender.timer.restart(now, self.config.time_wait_s)
         if segment.flags & packet.SYN and self.state is State.syn_received:
             self._send_syn(now)
-        else:
-            sent = self._sender.buffer.sent
-            self._output.send_ack(now, sent, self._receiver.next)
+            return
+        if not length:
+            last = self._challenged
+            if last is not None and now - last < CHALLENGE_INTERVAL_S:
+                return
+            self._challenged = now
+        sent = self._sender.buffer.sent
+        self._output.send_ack(now, sent, self._receiver.next)
 
     def _synchronize(self, segment: Segment) -> None:
         """Take the peer's first sequence number and timestamp."""
--- a/tests/test_standins_tcp.py
+++ b/tests/test_standins_tcp.py
@@ -215,6 +215,16 @@
     assert connection.take() == b''
 
 
+def test_stale_acknowledgements_are_answered_at_a_limited_rate() -> None:
+    """Guards against two ends that answer each other for ever."""
+    network, _, _ = open_pair()
+    stale = forge(network, -5000, packet.ACK)
+    for _ in range(100):
+        network.step += 1
+        network.caller.receive(network.now, stale)
+    assert len(network.caller.take_packets()) == 2
+
+
 @pytest.mark.parametrize(
     ('ack_offset', 'flags', 'outcome'),
     [
