Let two backends of the demonstration report late or falsely

Cause: load reports that lag or mislead are among the failures to withstand. Change: one backend a deployment reports its load of 3 s ago, one always none.

--- a/demo/audit.py
+++ b/demo/audit.py
@@ -49,7 +49,7 @@
         seen.scraper.total(metrics.RETRIED_METRIC),
     )
     figures |= format_imbalance(seen)
-    figures['change in force (s)'] = format_in_force(seen)
+    figures['in force after publishing (s)'] = format_in_force(seen)
     figures['planned stop'] = f'status {seen.stop_status}, {seen.stop_s:.1f} s'
     broken = [f'{name}: {tally[name]}' for name in _FORBIDDEN if tally[name]]
     broken += list_late_changes(seen)
--- a/demo/plans.py
+++ b/demo/plans.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from apricottally import addresses
+from apricottally.events import LoadReport
 from apricottally.model import Holding, Machine, MachineState, Workspace
 from demo import layout as places
 from demo import toml
@@ -17,6 +18,10 @@
 # Balancers that others ask first.
 _SEEDS = 2
 _SHARE = 1.0
+# Running numbers of backends whose load reports are late, in seconds, or
+# wrong.
+_LAGGING = {1: 3.0}
+_LYING = {2: LoadReport(0, 0, 'ready')}
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +64,8 @@
                 ip=layout.backend_ip(index),
                 slot_ports=ports,
                 drain_grace_s=DRAIN_GRACE_S,
+                report_lag_s=_LAGGING.get(index, 0),
+                lie=_LYING.get(index),
             ),
             choose_zone(deployment, index),
         )
