Bring owned shards up to date before the status test asks for them

Change: the test node ticks after it received records. Conclusion: status shows what the owner really counts.

--- a/tests/controlled.py
+++ b/tests/controlled.py
@@ -8,7 +8,7 @@
 from apricottally import model
 from apricottally.addresses import Endpoint
 from apricottally.controlservice import Hooks, open_control
-from apricottally.events import Event, Record, RecordsReceived
+from apricottally.events import Event, Record, RecordsReceived, Ticked
 from apricottally.model import Backend, BackendState
 from apricottally.reducer import reduce
 from apricottally.state import NodeConfig, NodeState
@@ -58,6 +58,8 @@
     def receive(self, *received: Record) -> None:
         revision = max(record.version for record in received)
         self.submit(RecordsReceived(0, received, revision, complete=False))
+        # Ownership of shards is brought up to date by the tick.
+        reduce(self.state, Ticked(0, 0))
 
 
 def build_records() -> list[Record]:
