--- a/apricottally/outbound.py
+++ b/apricottally/outbound.py
@@ -12,6 +12,7 @@
 
 from apricottally import gue, packet
 from apricottally.effects import Effect, SendPacket
+from apricottally.errors import WireError
 from apricottally.gue import Handover
 from apricottally.packet import Segment
 
@@ -47,18 +48,29 @@
     effect: SendPacket,
     cause: Cause | None,
 ) -> bool:
-    start, handover = gue.decode(effect.payload)
+    try:
+        segment, handover = _parse(effect.payload)
+    except WireError as error:
+        return state.invariants.check(
+            'malformed_packet',
+            holds=False,
+            detail=error.reason,
+        )
     if handover is not None:
         return state.invariants.check(
             'second_handover',
             holds=not _is_again(effect.payload, cause),
         )
-    segment = packet.parse(effect.payload, start)
     if effect.dest == state.config.gateway:
         return _is_valid_reply(state, segment, cause)
     return _is_valid_request(state, effect, segment, cause)
 
 
+def _parse(datagram: bytes) -> tuple[Segment, Handover | None]:
+    start, handover = gue.decode(datagram)
+    return packet.parse(datagram, start), handover
+
+
 def _is_again(datagram: bytes, cause: Cause | None) -> bool:
     """Tell whether a packet that was handed over is handed over again."""
     if cause is None or cause.handover is None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,7 +1,9 @@
 """Packets reach the backend their number names, and nothing else."""
 
+import hypothesis
 import msgspec
 import pytest
+from hypothesis import strategies
 
 from apricottally import fastpath, forwarding, gue, outbound, packet
 from apricottally.effects import Effect, SendPacket
@@ -41,6 +43,12 @@
     return PacketReceived(1, NODES[1].packet, datagram)
 
 
+def build_options(options: bytes) -> bytes:
+    return packet.build(
+        *fleet.CALLER, fleet.ADDRESS, fleet.PORT, 1, 2, ACK, options
+    )
+
+
 def plain(inner: bytes, source=fleet.FABRIC) -> PacketReceived:
     return PacketReceived(1, source, gue.encode(inner))
 
@@ -121,6 +129,10 @@
         (plain(fleet.build_request() + b'x'), 'wrong_length'),
         (plain(fleet.build_request(payload=bytes(8990))), 'oversized'),
         (plain(b'\x60' + fleet.build_request()[1:]), 'foreign_ip_header'),
+        (plain(build_options(b'\x01\x01\x01\x05')), 'truncated_options'),
+        (plain(build_options(b'\x08\x08' + bytes(6))), 'truncated_options'),
+        (plain(build_options(b'\x05\x00\x01\x01')), 'truncated_options'),
+        (plain(build_options(b'\x00\x00\x00\x00')), 'no_number'),
         (plain(fleet.build_request(ts_ecr=0)), 'no_number'),
         (plain(fleet.build_request(RST, ts_ecr=0)), 'reset_without_number'),
         (plain(fleet.build_request(RST, RETIRED)), 'backend_gone'),
@@ -306,6 +318,7 @@
             ),
             DATA,
         ),
+        ('malformed_packet', send(fleet.GATEWAY, DATA[:45]), DATA),
         ('second_handover', [SendPacket(NODES[1].packet, HANDED)], DATA),
     ],
 )
@@ -341,3 +354,49 @@
     )
     with pytest.raises(InvariantError, match='foreign_backend'):
         reduce(node, plain(general))
+
+
+octets = strategies.integers(0, 255)
+SEEDS = [
+    (inner, source)
+    for flags in (ACK, FIN | ACK, RST, SYN, 0, 0xFF)
+    for inner, source in (
+        (fleet.build_request(flags, KNOWN, payload=b'xy'), fleet.FABRIC),
+        (fleet.build_request(flags, RETIRED), fleet.FABRIC),
+        (fleet.build_request(flags, UNKNOWN), fleet.FABRIC),
+        (fleet.build_reply(flags, payload=b'z'), SOURCE),
+        (fleet.build_reply(flags), FOREIGN),
+    )
+]
+
+
+@hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=500,
+    database=None,
+)
+@hypothesis.given(
+    seed=strategies.sampled_from(SEEDS),
+    direction=strategies.sampled_from((None, *Direction)),
+    damage=strategies.lists(
+        strategies.tuples(strategies.integers(0, 55), octets),
+        max_size=4,
+    ),
+    cut=strategies.none() | strategies.integers(0, 80),
+)
+def test_damaged_datagram_breaks_nothing(seed, direction, damage, cut) -> None:
+    """Guards against an exception or a broken invariant by foreign input.
+
+    A backend's SYN-ACK is left out: its refusal belongs to admission.
+    """
+    inner, source = seed
+    event = plain(inner, source)
+    if direction is not None:
+        event = hand(direction, inner, source)
+    datagram = bytearray(event.payload)
+    for offset, octet in damage:
+        datagram[offset] = octet
+    damaged = bytes(datagram[:cut])
+    node = build_node()
+    reduce(node, PacketReceived(1, event.source, damaged))
