Hand a shard over whenever its owner changes while the former one lives

Cause: after a planned stop, or the join of a node, other nodes sent SYN-ACKs and closes to the former owner for up to a second. Change: succession.py hands over counts, slot flows and waiting SYNs as soon as the former owner hears of the change, and passes on what still reaches it (at most two hops). The shutdown uses the same path.

--- a/apricottally/flows.py
+++ b/apricottally/flows.py
@@ -114,7 +114,9 @@
     then is it sure that answers come here.
     `retrying` holds flows that are due for another backend. `run_s` is the
     mean run time by class, of flows that hold a slot. `members_version` is
-    that of the members which `active` was chosen by.
+    that of the members which `active` was chosen by. `was_owner` says that the
+    members have named this node, `handed_over` that the next owner has got
+    what was admitted here.
     """
 
     shard: Shard
@@ -124,6 +126,8 @@
     queues: dict[Holding, FairQueue[Flow]] = field(default_factory=dict)
     retrying: list[Flow] = field(default_factory=list)
     run_s: dict[Urgency, float] = field(default_factory=dict)
+    was_owner: bool = False
+    handed_over: bool = False
     members_version: int = 0
     complete: bool = False
     adopted: bool = False
--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -18,6 +18,7 @@
     packet,
     shards,
     silence,
+    succession,
 )
 from apricottally.addresses import Endpoint
 from apricottally.effects import Effect, SendPacket
@@ -206,7 +207,14 @@
     if shard is None:
         return admission.refuse(state, segment, 'no_backend')
     if _is_for_owner(state, shard, handover):
-        return _hand_over(state, event, shard, segment, Direction.caller)
+        return _hand_over(
+            state,
+            event,
+            shard,
+            segment,
+            Direction.caller,
+            handover,
+        )
     return admission.receive_syn(
         state,
         event.now,
@@ -271,7 +279,14 @@
         )
     shard = service.shard_of[number]
     if _is_for_owner(state, shard, handover):
-        return _hand_over(state, event, shard, segment, Direction.backend)
+        return _hand_over(
+            state,
+            event,
+            shard,
+            segment,
+            Direction.backend,
+            handover,
+        )
     return _receive_answer(state, event, route, number, segment)
 
 
@@ -318,12 +333,12 @@
     shard: Shard,
     handover: Handover | None,
 ) -> bool:
-    """Tell whether the packet has to go on to another node.
-
-    A packet that was handed over once stays: nodes with different views
-    would otherwise pass it around.
-    """
-    return handover is None and not state.owners.owns(shard.name, shard.zone)
+    """Tell whether the packet has to go on to another node."""
+    if state.owners.owns(shard.name, shard.zone):
+        return False
+    if handover is None:
+        return True
+    return succession.passes_on(state, shard, handover)
 
 
 def _hand_over(
@@ -332,7 +347,8 @@
     shard: Shard,
     segment: Segment,
     direction: Direction,
+    former: Handover | None,
 ) -> list[Effect]:
     owner = state.owners.find(shard.name, shard.zone)
     state.counters.add('handed_over', direction.name)
-    return [wrap(event, segment, owner, direction)]
+    return [wrap(event, segment, owner, direction, former)]
--- a/apricottally/occupancy.py
+++ b/apricottally/occupancy.py
@@ -1,4 +1,4 @@
-"""What a leaving owner hands to the next one: its counts and slot flows."""
+"""What a former owner hands to the next one: its counts and slot flows."""
 
 from __future__ import annotations
 
@@ -14,24 +14,6 @@
     from apricottally.state import NodeState
 
 
-def has_waiting(state: NodeState) -> bool:
-    """Tell whether SYNs wait here; a leaving owner sends them first."""
-    phases = {Phase.waiting, Phase.retrying}
-    return any(flow.phase in phases for flow in state.admissions.flows.values())
-
-
-def export_occupancy(state: NodeState, now: float) -> tuple[Occupancy, ...]:
-    """Return what this node has admitted, by shard.
-
-    A SYN that has not been answered counts, since its SYN-ACK goes to the
-    next owner.
-    """
-    return tuple(
-        _export_shard(state, now, owned)
-        for owned in state.admissions.shards.values()
-    )
-
-
 def import_occupancy(
     state: NodeState,
     now: float,
@@ -54,11 +36,16 @@
     return False
 
 
-def _export_shard(
+def export_shard(
     state: NodeState,
     now: float,
     owned: OwnedShard,
 ) -> Occupancy:
+    """Return what this node has admitted for a shard.
+
+    A SYN that has not been answered counts, since its SYN-ACK goes to the
+    next owner.
+    """
     flows = []
     for flow in state.admissions.flows.values():
         is_held = flow.phase in {Phase.sent, Phase.established}
@@ -73,6 +60,13 @@
     return Occupancy(owned.service.name, name, counts, tuple(flows))
 
 
+def drop_shard(state: NodeState, owned: OwnedShard) -> None:
+    """Forget what was handed over."""
+    ownership.drop_flows(state, owned)
+    for load in owned.active:
+        load.open = 0
+
+
 def _import_shard(
     state: NodeState,
     now: float,
--- a/apricottally/ownership.py
+++ b/apricottally/ownership.py
@@ -86,12 +86,22 @@
     admissions.ticked_at = now
     state.counters.add('fenced', 'paused')
     for owned in admissions.shards.values():
-        owned.retrying.clear()
-        for holds in Holding:
-            owned.queues[holds] = FairQueue(QUEUE_LIMIT)
+        drop_flows(state, owned)
         _take_over_again(state, now, owned)
 
 
+def drop_flows(state: NodeState, owned: OwnedShard) -> None:
+    """Forget the flows of a shard and free what they hold."""
+    owned.retrying.clear()
+    for holds in Holding:
+        owned.queues[holds] = FairQueue(QUEUE_LIMIT)
+    for flow in _list_flows(state, owned):
+        if flow.phase in _HELD and flow.load is not None:
+            flow.load.free(flow.holds)
+        if flow.phase is not Phase.over:
+            _drop(state, flow)
+
+
 def poll(state: NodeState, now: float) -> list[Effect]:
     """Ask the owned backends for their load when it is time."""
     admissions = state.admissions
@@ -133,6 +143,7 @@
             owned = _build(state, now, service, shard)
         if owned is not None:
             owned.is_owner = is_owner
+            owned.was_owner |= is_owner
             _update(state, now, owned, service, shard)
 
 
@@ -183,9 +194,8 @@
     owned.adopted = False
     state.admissions.next_poll = now
     for flow in _list_flows(state, owned):
-        if flow.phase in _HELD and flow.load is not None:
+        if flow.phase is Phase.established and flow.load is not None:
             flow.load.free(flow.holds)
-        if flow.phase is not Phase.over:
             _drop(state, flow)
 
 
--- a/apricottally/strays.py
+++ b/apricottally/strays.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
 import xxhash
 
 from apricottally import addresses, gue, packet
@@ -78,10 +79,17 @@
     segment: Segment,
     member: Member,
     direction: Direction,
+    former: Handover | None = None,
 ) -> Effect:
-    """Return the effect that hands the packet over to a member."""
-    ip, port = event.source
-    handover = Handover(direction, 1, port, addresses.parse_ip(ip))
+    """Return the effect that hands the packet over to a member.
+
+    `former` is the extension that the packet came with, if any.
+    """
+    if former is None:
+        ip, port = event.source
+        handover = Handover(direction, 1, port, addresses.parse_ip(ip))
+    else:
+        handover = msgspec.structs.replace(former, hops=former.hops + 1)
     inner = event.payload[segment.start :]
     return SendPacket(member.packet, gue.encode_handover(handover, inner))
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,8 +9,7 @@
 from apricottally.model import BackendState, Holding, Template, Urgency
 from apricottally.occupancy import (
     Occupancy,
-    export_occupancy,
-    has_waiting,
+    export_shard,
     import_occupancy,
 )
 from tests.owner import RST_ACK, Owner, build_backends
@@ -336,8 +335,9 @@
     old = Owner(build_backends(2))
     fill(old, 3)
     old.open(9, 'feed')
-    assert not has_waiting(old.state)
-    wire = msgspec.msgpack.encode(export_occupancy(old.state, old.now)[0])
+    owned = next(iter(old.state.admissions.shards.values()))
+    exported = export_shard(old.state, old.now, owned)
+    wire = msgspec.msgpack.encode(exported)
     new = Owner(build_backends(2), warm=False)
     decoded = msgspec.msgpack.decode(wire, type=Occupancy)
     assert import_occupancy(new.state, new.now, decoded)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -2,14 +2,19 @@
 
 import pytest
 
-from apricottally import membership, messages
-from apricottally.effects import Effect, Exit, SendPeer
-from apricottally.events import PeerReceived, ShutdownRequested, Ticked
+from apricottally import addresses, gue, membership, messages, packet
+from apricottally.effects import Effect, Exit, SendPacket, SendPeer
+from apricottally.events import (
+    PacketReceived,
+    PeerReceived,
+    ShutdownRequested,
+    Ticked,
+)
 from apricottally.members import Member
 from apricottally.messages import OccupancyReport
 from apricottally.reducer import reduce
 from apricottally.shutdown import MAX_DRAIN_S, QUIET_S
-from tests.owner import WALL_S, Owner
+from tests.owner import CALLER, PORTS, WALL_S, Owner
 
 SOURCE = ('127.0.1.2', 6081)
 
@@ -28,11 +33,13 @@
     return reduce(owner.state, Ticked(owner.now, WALL_S + owner.now))
 
 
-def build_leaving(flows: int) -> Owner:
+def build_leaving(flows: int, waiting: int = 0) -> Owner:
     """Return an owner with open slot flows and a successor."""
     owner = Owner()
     for port in range(1, flows + 1):
         owner.open(port)
+    for port in range(101, 101 + waiting):
+        assert owner.syn(port) == []
     zone = owner.state.config.zone
     owner.state.members.put(Member('next', zone, '127.0.1.2', 6080, 6081))
     return owner
@@ -55,6 +62,50 @@
     assert all(load.busy <= load.backend.slots for load in loads)
 
 
+def test_waiting_syns_reach_the_next_owner() -> None:
+    """Guards against a refusal of flows that wait when the owner changes."""
+    owner = build_leaving(4, waiting=1)
+    reduce(owner.state, ShutdownRequested(owner.now))
+    sent = [
+        gue.decode(effect.payload)[1]
+        for effect in advance(owner, 0.1)
+        if isinstance(effect, SendPacket)
+    ]
+    assert [handover.hops for handover in sent] == [gue.LAST_HOP]
+    assert not owner.state.admissions.flows
+
+
+@pytest.mark.parametrize(('hops', 'dest'), [(1, 'next'), (2, 'backend')])
+def test_former_owner_passes_on(hops: int, dest: str) -> None:
+    """Guards against a SYN-ACK or FIN that a former owner keeps to itself."""
+    owner = build_leaving(0)
+    reduce(owner.state, ShutdownRequested(owner.now))
+    advance(owner, 0.1)
+    service = addresses.parse_ip('10.9.0.1'), PORTS['hold']
+    options = packet.encode_timestamps(1, 0)
+    syn = packet.build(CALLER, 7, *service, 1, 0, packet.SYN, options)
+    handover = gue.Handover(gue.Direction.caller, hops, 6080, CALLER)
+    datagram = gue.encode_handover(handover, syn)
+    event = PacketReceived(owner.now, SOURCE, datagram)
+    effects = reduce(owner.state, event)
+    sent = [each for each in effects if isinstance(each, SendPacket)]
+    is_next = sent[0].dest[0] == '127.0.1.2'
+    assert is_next is (dest == 'next')
+
+
+def test_joining_owner_gets_the_counts() -> None:
+    """Guards against refusals by a new owner that knows of no flow."""
+    owner = Owner()
+    owner.open(1)
+    joined = [f'join{number}' for number in range(6)]
+    for name in joined:
+        member = Member(name, owner.state.config.zone, '127.0.1.2', 1, 2)
+        owner.state.members.put(member)
+    reports = list_reports(advance(owner, 0.1))
+    assert sum(len(each.occupancy.flows) for each in reports) == 1
+    assert not owner.state.admissions.flows
+
+
 def test_process_ends_when_no_packet_came() -> None:
     """Guards against a stop that cuts flows, and against one without end."""
     owner = build_leaving(1)
