Leave out dead backends by evidence; free slots of callers that gave up

(3) A new owner sent one SYN after the other to a backend that shed them, until the retry budget was spent. Change: outliers.py needs failed polls together with unanswered SYNs or a zone without live nodes; refused SYNs are refused again for 3 s; a caller's reset without timestamps goes to the owner by flow key; a backend that shed gets no slot flow for 100 ms. Ends of flows moved to endings.py. Conclusion: one sign alone must not take a backend out.

--- a/apricottally/admission.py
+++ b/apricottally/admission.py
@@ -8,9 +8,16 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally import attempts, gue, leaks, ownership, packet
+from apricottally import (
+    attempts,
+    gue,
+    leaks,
+    outliers,
+    ownership,
+    packet,
+)
 from apricottally.attempts import LINGER_S
-from apricottally.balance import correct_drift, note_accepted, note_shed
+from apricottally.balance import correct_drift, note_shed
 from apricottally.balance import take_report as note_report
 from apricottally.effects import Effect, SendPacket
 from apricottally.events import LoadReported
@@ -39,6 +46,10 @@
     known = admissions.flows.get(key)
     if known is not None and not _is_replaced(known, segment):
         return _repeat_syn(state, known, segment, datagram)
+    if admissions.refusals.matches(key, segment.seq, now):
+        state.counters.add('refused_again', 'repeated_syn')
+        answer = packet.refuse_syn(segment)
+        return [SendPacket(state.config.gateway, gue.encode(answer))]
     refusal = screen_syn(state, now, route, segment, key)
     if refusal:
         return refusal
@@ -93,7 +104,7 @@
     if not is_current or flow.phase is Phase.over:
         return _drop_syn_ack(state, now, flow, number, segment)
     if flow.phase is Phase.sent:
-        _establish(state, now, flow)
+        attempts.establish(state, now, flow)
     elif flow.holds is Holding.connection:
         state.admissions.timers.set(flow, now + LINGER_S)
     return _pass_to_caller(state, number, segment, datagram)
@@ -119,6 +130,7 @@
         state.counters.add('dropped', 'late_refusal')
         return []
     note_shed(flow.load, now)
+    outliers.note_answer(flow.load)
     effects = attempts.retry(state, now, flow, 'shed')
     if effects is None:
         attempts.give_up(flow)
@@ -126,42 +138,22 @@
     return effects + attempts.place_waiting(state, now, flow.owned)
 
 
-def note_close(
-    state: NodeState,
-    now: float,
-    route: Route,
-    number: int,
-    segment: Segment,
-    key: bytes,
-    *,
-    from_backend: bool,
-) -> list[Effect]:
-    """Free what a flow held, once, and use it for those waiting."""
-    flow = state.admissions.flows.get(key)
-    if flow is not None and number in flow.tried:
-        state.counters.add('unused_notice', 'late_close')
-        return []
-    if flow is not None and number == flow.number and not flow.passed:
-        if from_backend and not flow.may_continue(segment):
-            state.counters.add('unused_notice', 'late_close')
-            return []
-        # The SYN-ACK went through another node that acts as owner.
-        _establish(state, now, flow)
-    return _end(state, now, route, number, key)
-
-
 def receive_load(state: NodeState, event: LoadReported) -> list[Effect]:
     """Take a backend's report; it may end a wait for capacity."""
     admissions = state.admissions
     name = admissions.by_ip.get(event.backend_ip)
     load = admissions.loads.get(name) if name else None
-    if load is None or event.report is None:
-        state.counters.add('load_polls', 'failed' if load else 'unknown')
+    if load is None:
+        state.counters.add('load_polls', 'unknown')
+        return []
+    outliers.note_poll(load, answered=event.report is not None)
+    if event.report is None:
+        state.counters.add('load_polls', 'failed')
         return []
     note_report(load, event.report, event.now)
     leaks.write_off(state, event.now, load)
     for owned in admissions.shards.values():
-        if load in owned.active:
+        if load in owned.loads:
             if owned.adopted:
                 correct_drift(load, owned.active, event.now)
             return attempts.place_waiting(state, event.now, owned)
@@ -175,6 +167,7 @@
     ownership.refresh(state, now, wall_s)
     ownership.settle(state, now)
     state.admissions.closings.expire(now)
+    state.admissions.refusals.expire(now)
     effects = ownership.poll(state, now)
     for flow in state.admissions.timers.pop_due(now):
         effects.extend(attempts.wake(state, now, flow))
@@ -264,18 +257,6 @@
     return [SendPacket(endpoint, gue.encode(flow.syn))]
 
 
-def _establish(state: NodeState, now: float, flow: Flow) -> None:
-    flow.phase = Phase.established
-    flow.passed = True
-    if flow.holds is Holding.connection:
-        state.admissions.timers.set(flow, now + LINGER_S)
-        return
-    run_s = flow.route.template.max_run_ms / 1000
-    state.admissions.timers.set(flow, flow.sent_at + run_s)
-    if flow.load is not None:
-        note_accepted(flow.load, now)
-
-
 def _drop_syn_ack(
     state: NodeState,
     now: float,
@@ -311,37 +292,6 @@
     return effects + attempts.place_waiting(state, now, flow.owned)
 
 
-def _end(
-    state: NodeState,
-    now: float,
-    route: Route,
-    number: int,
-    key: bytes,
-) -> list[Effect]:
-    """Free what a flow held, once, and use it for those waiting."""
-    admissions = state.admissions
-    is_first = admissions.closings.add(key, now)
-    flow = admissions.flows.get(key)
-    if flow is not None and flow.number == number:
-        if flow.phase is not Phase.established or flow.load is None:
-            return []
-        flow.load.free(flow.holds)
-        if flow.holds is Holding.slot:
-            run_s = now - flow.sent_at
-            flow.owned.note_run(flow.route.template.urgency, run_s)
-        attempts.finish(state, now, flow)
-        return attempts.place_waiting(state, now, flow.owned)
-    load = admissions.loads.get((route.service.name, number))
-    if load is None or not is_first:
-        return []
-    if route.template.holds is Holding.connection:
-        load.free(Holding.connection)
-    else:
-        # A former owner's flow; its slot may still be in the last report.
-        load.ended += 1
-    return []
-
-
 def _pass_to_caller(
     state: NodeState,
     number: int,
--- a/apricottally/attempts.py
+++ b/apricottally/attempts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally import balance, gue, packet, retries
+from apricottally import balance, gue, outliers, packet, retries
 from apricottally.addresses import PACKET_PORT
 from apricottally.balance import BackendLoad
 from apricottally.effects import Effect, SendPacket
@@ -167,10 +167,26 @@
         finish(state, now, flow)
     else:
         _forget(state, flow)
+        state.admissions.refusals.add(flow.key, flow.segment.seq, now)
     answer = packet.refuse_syn(flow.segment)
     return [SendPacket(state.config.gateway, gue.encode(answer))]
 
 
+def establish(state: NodeState, now: float, flow: Flow) -> None:
+    """Note that a SYN-ACK of the flow was passed on."""
+    flow.phase = Phase.established
+    flow.passed = True
+    if flow.load is not None:
+        outliers.note_answer(flow.load)
+    if flow.holds is Holding.connection:
+        state.admissions.timers.set(flow, now + LINGER_S)
+        return
+    run_s = flow.route.template.max_run_ms / 1000
+    state.admissions.timers.set(flow, flow.sent_at + run_s)
+    if flow.load is not None:
+        balance.note_accepted(flow.load, now)
+
+
 def finish(state: NodeState, now: float, flow: Flow) -> None:
     """Keep an ended flow for late packets only."""
     flow.phase = Phase.over
@@ -268,6 +284,8 @@
         _forget(state, flow)
         return []
     if now < flow.sent_at + ANSWER_LIMIT_S and now < flow.deadline:
+        if flow.load is not None:
+            outliers.note_miss(state, flow.load, now)
         effects = retry(state, now, flow, 'no_answer')
         if effects is not None:
             return effects
--- a/apricottally/balance.py
+++ b/apricottally/balance.py
@@ -32,6 +32,8 @@
 DRIFT_MARGIN = 0.05
 # Difference between count and report that connections in flight explain.
 DRIFT_TOLERANCE = 10
+# Time for which a backend that shed a flow gets no other one.
+SHED_PAUSE_S = 0.1
 # Credit of a new backend for flows: it may save up this many.
 MAX_CREDIT = 2.0
 _WHOLE_CREDIT = 1 - 1e-9
@@ -50,7 +52,9 @@
     flows that a backend in slow start may get now. Before `special_until`
     more than the two counts decides whether the backend has room.
     `unconfirmed` counts the reports in a row that show fewer busy slots than
-    `busy`.
+    `busy`. `missed` counts SYNs and `failed_polls` polls without an answer in
+    a row. The backend gets no flow until `ejected_until`, and none that holds a
+    slot until `full_until`.
     """
 
     backend: Backend
@@ -64,6 +68,10 @@
     reported_at: float = _LONG_AGO
     foreign: int = 0
     unconfirmed: int = 0
+    missed: int = 0
+    failed_polls: int = 0
+    ejected_until: float = 0
+    full_until: float = 0
     foreign_open: int = 0
     claimed_since: float = _LONG_AGO
     strikes: int = 0
@@ -148,7 +156,9 @@
 
 
 def note_shed(load: BackendLoad, now: float) -> None:
-    """Take a reset of a SYN as proof of what the backend claims."""
+    """Take a reset of a SYN as proof that the backend is full."""
+    load.full_until = now + SHED_PAUSE_S
+    load.special_until = max(load.special_until, load.full_until)
     load.strikes = 0
     if load.foreign:
         load.claimed_since = now
@@ -214,6 +224,8 @@
     if now - load.known_since < slowstart.SETTLE_S:
         return 0
     if holds is Holding.slot:
+        if now < load.full_until:
+            return 0
         free = _limit_slots(load, now) - load.busy
         if takeover:
             free = min(free, _count_reported(load, now, load.backend.slots))
--- a/apricottally/closing.py
+++ b/apricottally/closing.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally import admission, gue, packet, succession
+from apricottally import endings, gue, packet, succession
 from apricottally.addresses import Endpoint
 from apricottally.effects import Effect, SendPacket
 from apricottally.events import PacketReceived
@@ -144,7 +144,7 @@
 ) -> list[Effect]:
     make_key = packet.reply_key if from_backend else packet.caller_key
     key = make_key(event.payload, segment.start)
-    return admission.note_close(
+    return endings.note_close(
         state,
         event.now,
         route,
--- a/apricottally/flows.py
+++ b/apricottally/flows.py
@@ -19,6 +19,10 @@
 # Time for which the end of a flow is remembered, so that a retransmitted FIN
 # is counted once. It exceeds the first gaps between retransmissions.
 CLOSING_S = 15.0
+# Time for which a refusal is remembered: two first gaps between SYNs.
+REFUSED_S = 3.0
+# Refusals kept, of about 200 bytes each.
+MAX_REFUSALS = 10_000
 _SEQ_MASK = 0xFFFFFFFF
 # Bytes that a flow may have sent before its end is taken for an older one's.
 _MAX_ACKNOWLEDGED = 1 << 30
@@ -108,13 +112,13 @@
 class OwnedShard:
     """A shard that this node admits for, with its backends and queues.
 
-    `active` are the backends that may get new flows. `complete` says that a
+    `loads` are the backends whose records let them take new flows, `active`
+    those that seem to be alive as well. `complete` says that a
     former owner handed its counts over, so reports are not needed, `adopted`
     that a takeover is over, `is_owner` that the members name this node; only
     then is it sure that answers come here.
     `retrying` holds flows that are due for another backend. `run_s` is the
-    mean run time by class, of flows that hold a slot. `members_version` is
-    that of the members which `active` was chosen by. `was_owner` says that the
+    mean run time by class, of flows that hold a slot. `was_owner` says that the
     members have named this node, `handed_over` that the next owner has got
     what was admitted here.
     """
@@ -122,13 +126,13 @@
     shard: Shard
     service: Service
     since: float
+    loads: list[BackendLoad] = field(default_factory=list)
     active: list[BackendLoad] = field(default_factory=list)
     queues: dict[Holding, FairQueue[Flow]] = field(default_factory=dict)
     retrying: list[Flow] = field(default_factory=list)
     run_s: dict[Urgency, float] = field(default_factory=dict)
     was_owner: bool = False
     handed_over: bool = False
-    members_version: int = 0
     complete: bool = False
     adopted: bool = False
     is_owner: bool = False
@@ -198,6 +202,39 @@
             self._ends.pop(key)
 
 
+class Refusals:
+    """Flows refused lately, by key, with the sequence number of their SYN.
+
+    A SYN sent again while its refusal is on the way gets the same answer.
+    Admitted, it would hold a slot for a caller that has given up.
+    """
+
+    __slots__ = ('_refused',)
+
+    def __init__(self) -> None:
+        self._refused: dict[bytes, tuple[int, float]] = {}
+
+    def add(self, key: bytes, seq: int, now: float) -> None:
+        """Note a refusal, unless too many are kept."""
+        if len(self._refused) < MAX_REFUSALS:
+            self._refused[key] = (seq, now + REFUSED_S)
+
+    def matches(self, key: bytes, seq: int, now: float) -> bool:
+        """Tell whether this very SYN was refused."""
+        refused = self._refused.get(key)
+        return refused is not None and refused[0] == seq and refused[1] > now
+
+    def expire(self, now: float) -> None:
+        """Forget refusals that are past; the oldest stand first."""
+        expired = []
+        for key, (_, until) in self._refused.items():
+            if until > now:
+                break
+            expired.append(key)
+        for key in expired:
+            self._refused.pop(key)
+
+
 @dataclass(slots=True, eq=False)
 class Admissions:
     """Everything that a node knows as an owner.
@@ -215,6 +252,7 @@
     shards: dict[str, OwnedShard] = field(default_factory=dict)
     timers: Timers = field(default_factory=Timers)
     closings: Closings = field(default_factory=Closings)
+    refusals: Refusals = field(default_factory=Refusals)
     retries: RetryBudgets = field(default_factory=RetryBudgets)
     budget: SynBudget = field(default_factory=SynBudget)
     young: list[Service] = field(default_factory=list)
--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -12,6 +12,7 @@
     addresses,
     admission,
     closing,
+    endings,
     fastpath,
     gue,
     outbound,
@@ -80,7 +81,7 @@
     if not flags & (packet.ACK | packet.RST):
         return drop(state, 'foreign_flags')
     if not segment.ts_ecr:
-        return _drop_unnumbered(state, segment)
+        return _receive_unnumbered(state, event, route, segment, handover)
     number = segment.ts_ecr & packet.NUMBER_MASK
     endpoint = route.service.endpoints.get(number)
     if endpoint is None:
@@ -178,15 +179,42 @@
     return effects
 
 
-def _drop_unnumbered(state: NodeState, segment: Segment) -> list[Effect]:
-    """Drop a caller's packet that carries no number.
+def _receive_unnumbered(
+    state: NodeState,
+    event: PacketReceived,
+    route: Route,
+    segment: Segment,
+    handover: Handover | None,
+) -> list[Effect]:
+    """Handle a caller's packet that carries no number.
 
-    Kernels answer data for a closed socket by a reset without timestamps.
-    Nothing tells its backend; that one's own timeouts end the flow.
+    Kernels answer packets for a closed socket by a reset without timestamps.
+    Only the owner may know the flow, which its key leads to as for a SYN.
     """
-    if segment.flags & packet.RST:
+    if not segment.flags & packet.RST:
+        return drop(state, 'no_number')
+    key = packet.caller_key(event.payload, segment.start)
+    service = route.service
+    reachable = state.owners.list_reachable(service.name, service.shards)
+    shard = shards.choose_shard(reachable, key)
+    if shard is None:
         return drop(state, 'reset_without_number')
-    return drop(state, 'no_number')
+    if _is_for_owner(state, shard, handover):
+        return _hand_over(
+            state,
+            event,
+            shard,
+            segment,
+            Direction.caller,
+            handover,
+        )
+    return endings.receive_bare_reset(
+        state,
+        event.now,
+        key,
+        segment,
+        event.payload,
+    )
 
 
 def _receive_syn(
--- a/apricottally/ownership.py
+++ b/apricottally/ownership.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally import balance, slowstart
+from apricottally import balance, outliers, slowstart
 from apricottally.balance import BackendLoad
 from apricottally.effects import Effect, PollLoad
 from apricottally.fairqueue import FairQueue
@@ -111,7 +111,7 @@
     takeover = any(owned.is_takeover(now) for owned in shards)
     interval = TAKEOVER_POLL_S if takeover else POLL_INTERVAL_S
     admissions.next_poll = now + interval
-    loads = [load for owned in shards for load in owned.active]
+    loads = [load for owned in shards for load in owned.loads]
     if not loads:
         return []
     for load in loads:
@@ -123,6 +123,7 @@
     """End takeovers, and forget shards that another node now owns."""
     admissions = state.admissions
     for name, owned in list(admissions.shards.items()):
+        outliers.choose_active(state, owned, now)
         if not owned.adopted and not owned.is_takeover(now):
             owned.adopted = True
             if not owned.complete:
@@ -171,10 +172,8 @@
     service: Service,
     shard: Shard,
 ) -> None:
-    version = state.members.version
-    if owned.shard is shard and owned.members_version == version:
+    if owned.shard is shard:
         return
-    owned.members_version = version
     owned.shard = shard
     owned.service = service
     _take_backends(state, now, owned, is_new=False)
@@ -206,19 +205,18 @@
     *,
     is_new: bool,
 ) -> None:
-    """Bring the backends of a shard up to date with the records.
-
-    Backends in a zone without a live node cannot be reached from here.
-    """
-    active = []
-    reachable = []
-    for number in owned.shard.numbers:
-        backend = owned.service.backends[number]
-        load = _find_load(state, now, owned, backend, is_new=is_new)
-        active.append(load)
-        if state.members.alive(backend.zone):
-            reachable.append(load)
-    owned.active = reachable or active
+    """Bring the backends of a shard up to date with the records."""
+    owned.loads = [
+        _find_load(
+            state,
+            now,
+            owned,
+            owned.service.backends[number],
+            is_new=is_new,
+        )
+        for number in owned.shard.numbers
+    ]
+    outliers.choose_active(state, owned, now)
 
 
 def _find_load(
@@ -257,7 +255,7 @@
     """Drop a shard with its counts: another owner has newer ones."""
     admissions = state.admissions
     admissions.shards.pop(owned.shard.name)
-    for load in owned.active:
+    for load in owned.loads:
         admissions.loads.pop((owned.service.name, load.backend.number), None)
         admissions.by_ip.pop(load.backend.ip, None)
     for flow in _list_flows(state, owned):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -423,3 +423,23 @@
         owner.load(number).mark_poll()
         owner.report(number, reported)
     assert owner.load(number).busy == busy
+
+
+def test_repeated_syn_of_a_refused_flow_is_refused() -> None:
+    """Guards against a slot held for a caller that was told "not run"."""
+    owner = Owner()
+    fill(owner, 4)
+    assert owner.syn(5) == []
+    assert owner.tick(0.6) == REFUSED
+    assert owner.syn(5) == REFUSED
+    assert owner.syn(5, seq=900) == []
+
+
+def test_reset_without_timestamps_frees_the_slot() -> None:
+    """Guards against a slot that a caller's closed socket keeps for 30 s."""
+    owner = Owner()
+    number = owner.open(1)
+    sent = owner.from_caller(1, seq=101, flags=packet.RST)
+    assert sent == [(number, 'rst')]
+    assert owner.load(number).busy == 0
+    assert owner.from_caller(2, seq=101, flags=packet.RST) == []
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -9,7 +9,8 @@
 
 from apricottally import balance, overload, retries, slowstart
 from apricottally.balance import BackendLoad
-from apricottally.events import LoadReport
+from apricottally.events import LoadReport, LoadReported
+from apricottally.members import Member
 from apricottally.model import Holding, Urgency
 from apricottally.routes import build_service
 from tests.owner import WALL_S, Owner, build_backends
@@ -96,7 +97,9 @@
         free.append(balance.count_free(load, Holding.slot, now, takeover=False))
     assert free == [1, 1, 1, 2]
     balance.note_shed(load, 16)
-    assert balance.count_free(load, Holding.slot, 16, takeover=False) == 1
+    assert balance.count_free(load, Holding.slot, 16, takeover=False) == 0
+    later = 16 + balance.SHED_PAUSE_S
+    assert balance.count_free(load, Holding.slot, later, takeover=False) == 1
 
 
 @pytest.mark.parametrize(
@@ -230,3 +233,44 @@
         taken[urgency] += budget.spend(now, urgency)
     assert taken[Urgency.urgent] == 2000
     assert taken.total() == pytest.approx(4000, abs=150)
+
+
+def test_backend_without_answer_is_left_out() -> None:
+    """Guards against new flows for a dead backend, one after the other."""
+    owner = Owner(build_backends(3))
+    dead = owner.load(0)
+    for _ in range(2):
+        owner.send(LoadReported(owner.now, dead.backend.ip, None))
+    tries = [owner.admit(port) for port in range(1, 7)]
+    assert tries.count(0) == 2
+    for port, number in enumerate(tries, start=1):
+        if number:
+            owner.answer(port, number)
+            owner.close(port, number)
+    owner.tick(0.4)
+    assert 0 not in {owner.admit(port) for port in range(11, 15)}
+    owner.report(0, 0)
+    owner.tick(5.1)
+    assert 0 in {owner.admit(port) for port in range(21, 24)}
+
+
+@pytest.mark.parametrize(
+    ('failed', 'alive', 'out'),
+    [
+        (0, False, False),
+        (1, True, False),
+        (1, False, True),
+    ],
+)
+def test_zone_without_nodes(failed: int, alive: bool, out: bool) -> None:
+    """Guards against leaving out backends whose zone just has no balancer."""
+    near, far = build_backends(2)
+    owner = Owner((near, msgspec.structs.replace(far, zone='far')))
+    if alive:
+        owner.state.members.put(Member('n9', 'far', '127.1.0.9', 1, 2))
+    for _ in range(failed):
+        owner.send(LoadReported(owner.now, '127.2.0.2', None))
+    owner.tick(0.1)
+    shard = next(iter(owner.state.admissions.shards.values()))
+    numbers = [load.backend.number for load in shard.active]
+    assert numbers == ([0] if out else [0, 1])
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -136,7 +136,10 @@
         (plain(build_options(b'\x05\x00\x01\x01')), 'truncated_options'),
         (plain(build_options(b'\x00\x00\x00\x00')), 'no_number'),
         (plain(fleet.build_request(ts_ecr=0)), 'no_number'),
-        (plain(fleet.build_request(RST, ts_ecr=0)), 'reset_without_number'),
+        (
+            hand(Direction.caller, fleet.build_request(RST, ts_ecr=0)),
+            'reset_without_number',
+        ),
         (plain(fleet.build_request(RST, RETIRED)), 'backend_gone'),
         (plain(fleet.build_request(0, KNOWN)), 'foreign_flags'),
         (plain(fleet.build_request(SYN | ACK)), 'foreign_flags'),
