Keep slots free for urgent work where background runs are long

Cause: flows are not interrupted, so background runs of 1 s in all slots of a shard made urgent SYNs wait past their deadline.

Change: each shard measures arrivals and run times by class. Where the runs of a class are long, it and those below it leave free the slots that more urgent classes need; with more demand than slots, also their bursts.

--- a/apricottally/admission.py
+++ b/apricottally/admission.py
@@ -188,6 +188,8 @@
 
 def _queue_flow(state: NodeState, now: float, flow: Flow) -> list[Effect]:
     owned = flow.owned
+    if flow.holds is Holding.slot:
+        owned.reserve.note_arrival(flow.route.template.urgency, now)
     reason = attempts.find_early_refusal(owned, flow, now)
     if reason:
         return attempts.refuse_flow(state, now, flow, reason)
@@ -341,10 +343,10 @@
     if flow is not None and flow.number == number:
         if flow.phase is not Phase.established or flow.load is None:
             return []
-        flow.load.free(flow.holds)
+        flow.free()
         if flow.holds is Holding.slot:
-            run_s = now - flow.sent_at
-            flow.owned.note_run(flow.route.template.urgency, run_s)
+            urgency = flow.route.template.urgency
+            flow.owned.reserve.note_run(urgency, now - flow.sent_at)
         attempts.finish(state, now, flow)
         return attempts.place_waiting(state, now, flow.owned)
     load = admissions.loads.get((route.service.name, number))
--- a/apricottally/attempts.py
+++ b/apricottally/attempts.py
@@ -9,7 +9,7 @@
 from apricottally.balance import BackendLoad
 from apricottally.effects import Effect, SendPacket
 from apricottally.explanation import Decision
-from apricottally.fairqueue import CLASSES, FairQueue
+from apricottally.fairqueue import FairQueue
 from apricottally.flows import Flow, OwnedShard, Phase
 from apricottally.model import Holding
 from apricottally.routes import Route
@@ -55,14 +55,17 @@
     The expected wait is the work queued ahead over the slots of the shard.
     """
     queue = owned.queues[flow.holds]
-    slots = sum(load.backend.slots for load in owned.active)
-    if not queue or not slots:
+    if not queue:
         return ''
     route = flow.route
-    ahead = queue.count_ahead(route.template.urgency, route.workspace)
+    urgency = route.template.urgency
+    slots = owned.reserve.limit(urgency, owned.slots, now)
+    if not slots:
+        return 'shed_class'
+    ahead = queue.count_ahead(urgency, route.workspace)
     waits = [
-        count * owned.run_s.get(urgency, 0) / slots
-        for urgency, count in zip(CLASSES, ahead, strict=False)
+        count * run_s / slots
+        for count, run_s in zip(ahead, owned.reserve.run_s, strict=False)
     ]
     left = flow.deadline - now
     if sum(waits) <= left:
@@ -127,8 +130,7 @@
         # The flow ran too long; its packets go on by their cookie.
         state.counters.add('written_off', 'max_run')
         decide(state, now, flow, 'write_off', 'max_run', flow.number)
-        if flow.load is not None:
-            flow.load.free(flow.holds)
+        flow.free()
     _forget(state, flow)
     return []
 
@@ -136,7 +138,7 @@
 def give_up(flow: Flow) -> None:
     """Free what the flow holds at a backend that has not answered it."""
     if flow.load is not None:
-        flow.load.free(flow.holds)
+        flow.free()
         flow.tried += (flow.number,)
     flow.load = None
 
@@ -186,6 +188,10 @@
     flow: Flow,
     now: float,
 ) -> BackendLoad | None:
+    if flow.holds is Holding.slot:
+        urgency = flow.route.template.urgency
+        if not owned.reserve.has_room(urgency, owned.slots, now):
+            return None
     return balance.choose(
         owned.active,
         flow.holds,
@@ -235,14 +241,13 @@
     load: BackendLoad,
 ) -> Effect:
     """Send the flow's SYN to a backend, whose slot or connection it takes."""
-    load.take(flow.holds)
+    flow.take(load)
     state.invariants.check(
         'slot_over_admitted',
         holds=load.busy <= load.backend.slots,
         detail=load,
     )
     balance.spend_credit(flow.owned.active, load, now)
-    flow.load = load
     flow.phase = Phase.sent
     flow.sent_at = now
     state.admissions.timers.set(flow, now + retries.ANSWER_TIMEOUT_S)
--- a/apricottally/flows.py
+++ b/apricottally/flows.py
@@ -8,10 +8,11 @@
 
 from apricottally import packet
 from apricottally.balance import TAKEOVER_S, BackendLoad
-from apricottally.fairqueue import Entry, FairQueue
-from apricottally.model import Holding, Urgency
+from apricottally.fairqueue import RANKS, Entry, FairQueue
+from apricottally.model import Holding
 from apricottally.overload import SynBudget
 from apricottally.packet import Segment
+from apricottally.reserve import SlotReserve
 from apricottally.retries import RetryBudgets
 from apricottally.routes import Route, Service
 from apricottally.shards import Shard
@@ -22,8 +23,6 @@
 _SEQ_MASK = 0xFFFFFFFF
 # Bytes that a flow may have sent before its end is taken for an older one's.
 _MAX_ACKNOWLEDGED = 1 << 30
-# Weight of the last run in the mean run time of a class.
-_RUN_WEIGHT = 0.02
 
 
 class Phase(enum.Enum):
@@ -75,6 +74,23 @@
         """What the flow holds at its backend."""
         return self.route.template.holds
 
+    def take(self, load: BackendLoad) -> None:
+        """Hold a slot or connection of a backend."""
+        self.load = load
+        load.take(self.holds)
+        if self.holds is Holding.slot:
+            rank = RANKS[self.route.template.urgency]
+            self.owned.reserve.held[rank] += 1
+
+    def free(self) -> None:
+        """Count what the flow holds at its backend as free again."""
+        if self.load is None:
+            return
+        self.load.free(self.holds)
+        if self.holds is Holding.slot:
+            rank = RANKS[self.route.template.urgency]
+            self.owned.reserve.held[rank] -= 1
+
     def entry(self) -> Entry[Flow]:
         """Return the flow's entry for the queue."""
         route = self.route
@@ -112,8 +128,8 @@
     former owner handed its counts over, so reports are not needed, `adopted`
     that a takeover is over, `is_owner` that the members name this node; only
     then is it sure that answers come here.
-    `retrying` holds flows that are due for another backend. `run_s` is the
-    mean run time by class, of flows that hold a slot.
+    `retrying` holds flows that are due for another backend. `reserve` keeps
+    slots for urgent work.
     """
 
     shard: Shard
@@ -122,7 +138,7 @@
     active: list[BackendLoad] = field(default_factory=list)
     queues: dict[Holding, FairQueue[Flow]] = field(default_factory=dict)
     retrying: list[Flow] = field(default_factory=list)
-    run_s: dict[Urgency, float] = field(default_factory=dict)
+    reserve: SlotReserve = field(default_factory=SlotReserve)
     complete: bool = False
     adopted: bool = False
     is_owner: bool = False
@@ -132,10 +148,10 @@
         """Tell whether this owner does not know yet what runs."""
         return not self.complete and now - self.since < TAKEOVER_S
 
-    def note_run(self, urgency: Urgency, run_s: float) -> None:
-        """Add a run to the mean run time of its class."""
-        mean = self.run_s.get(urgency, run_s)
-        self.run_s[urgency] = mean + _RUN_WEIGHT * (run_s - mean)
+    @property
+    def slots(self) -> int:
+        """The slots of the backends that may get new flows."""
+        return sum(load.backend.slots for load in self.active)
 
 
 class Timers:
--- a/apricottally/occupancy.py
+++ b/apricottally/occupancy.py
@@ -144,8 +144,7 @@
         return
     admissions.closings.discard(key)
     flow = _build_flow(now, owned, route, slot_flow)
-    flow.load = load
-    load.busy += 1
+    flow.take(load)
     admissions.flows[key] = flow
     admissions.timers.set(flow, now + slot_flow.left_ms / 1000)
 
--- a/apricottally/ownership.py
+++ b/apricottally/ownership.py
@@ -158,8 +158,8 @@
     owned.adopted = False
     state.admissions.next_poll = now
     for flow in _list_flows(state, owned):
-        if flow.phase is Phase.established and flow.load is not None:
-            flow.load.free(flow.holds)
+        if flow.phase is Phase.established:
+            flow.free()
             _drop(state, flow)
 
 
