Never refuse a flow whose SYN-ACK came from another owner's backend

Cause: random runs under strict invariants refused a SYN shortly after a SYN-ACK of the same flow was passed on: one that another owner had chosen, one of a flow refused before, or one of a flow written off at max_run_ms.

A written-off flow is kept for 5 s.

--- a/apricottally/admission.py
+++ b/apricottally/admission.py
@@ -9,12 +9,11 @@
 from typing import TYPE_CHECKING
 
 from apricottally import attempts, gue, ownership, packet
-from apricottally.attempts import LINGER_S
 from apricottally.balance import correct_drift, note_accepted, note_shed
 from apricottally.balance import take_report as note_report
 from apricottally.effects import Effect, SendPacket
 from apricottally.events import LoadReported
-from apricottally.flows import Flow, OwnedShard, Phase
+from apricottally.flows import LINGER_S, Flow, OwnedShard, Phase
 from apricottally.model import Holding
 from apricottally.packet import Segment
 from apricottally.routes import Route
@@ -38,6 +37,10 @@
     known = admissions.flows.get(key)
     if known is not None and not _is_replaced(known, segment):
         return _repeat_syn(state, known, segment, datagram)
+    if _name_attempt(key, segment.seq + 1) in admissions.foreign:
+        # The backend that another owner chose sends its SYN-ACK again.
+        state.counters.add('dropped', 'repeated_syn')
+        return []
     refusal = screen_syn(state, now, route, segment, key)
     if refusal:
         return refusal
@@ -80,13 +83,18 @@
     datagram: bytes,
 ) -> list[Effect]:
     """Pass a backend's SYN-ACK on if it comes from the chosen backend."""
-    flow = state.admissions.flows.get(packet.reply_key(datagram, segment.start))
+    key = packet.reply_key(datagram, segment.start)
+    flow = state.admissions.flows.get(key)
     if not segment.timestamps:
         return _refuse_backend(state, now, route, number, segment, flow)
     if flow is None or number not in {flow.number, *flow.tried}:
         # Another owner chose this backend. The caller takes one SYN-ACK only.
         state.counters.add('forwarded', 'foreign_syn_ack')
-        return _pass_to_caller(state, number, segment, datagram)
+        state.admissions.foreign.add(_name_attempt(key, segment.ack), now)
+        effects = _pass_to_caller(state, number, segment, datagram)
+        if flow is not None and flow.answers(segment):
+            effects += attempts.withdraw(state, now, flow)
+        return effects
     is_current = flow.number == number and flow.answers(segment)
     if not is_current or flow.phase is Phase.over:
         return _drop_syn_ack(state, now, flow, number, segment)
@@ -145,6 +153,7 @@
     ownership.refresh(state, now, wall_s)
     ownership.settle(state, now)
     state.admissions.closings.expire(now)
+    state.admissions.foreign.expire(now)
     effects = ownership.poll(state, now)
     for flow in state.admissions.timers.pop_due(now):
         effects.extend(attempts.wake(state, now, flow))
@@ -160,6 +169,11 @@
     return [SendPacket(state.config.gateway, gue.encode(answer))]
 
 
+def _name_attempt(key: bytes, acknowledged: int) -> bytes:
+    """Return the name of a flow with the number that acknowledges its SYN."""
+    return key + (acknowledged & 0xFFFFFFFF).to_bytes(4, 'big')
+
+
 def _is_replaced(known: Flow, segment: Segment) -> bool:
     """Tell whether a SYN starts a new flow after a former one's end."""
     return known.phase is Phase.over and known.segment.seq != segment.seq
@@ -219,7 +233,7 @@
     datagram: bytes,
 ) -> list[Effect]:
     """Handle a retransmitted SYN: what was decided stands."""
-    if flow.refusal:
+    if flow.refusal and not flow.passed:
         state.counters.add('refused_again', flow.refusal)
         answer = packet.refuse_syn(segment)
         return [SendPacket(state.config.gateway, gue.encode(answer))]
--- a/apricottally/attempts.py
+++ b/apricottally/attempts.py
@@ -10,16 +10,13 @@
 from apricottally.effects import Effect, SendPacket
 from apricottally.explanation import Decision
 from apricottally.fairqueue import FairQueue
-from apricottally.flows import Flow, OwnedShard, Phase
+from apricottally.flows import LINGER_S, Flow, OwnedShard, Phase
 from apricottally.model import Holding
 from apricottally.routes import Route
 
 if TYPE_CHECKING:
     from apricottally.state import NodeState
 
-# Time for which a flow without a slot is kept after its SYN-ACK, and an ended
-# one after its end. SYNs and SYN-ACKs retransmitted within it are recognized.
-LINGER_S = 5.0
 # Time after which a backend that has not answered a SYN is given up, even if
 # no retry is possible.
 ANSWER_LIMIT_S = 1.0
@@ -84,6 +81,8 @@
         effects += _place_retrying(state, now, owned)
     for queue in owned.queues.values():
         for expired in queue.expire(now):
+            if expired.item.phase is not Phase.waiting:
+                continue
             reason = 'deadline' if owned.active else 'no_backend'
             effects.extend(refuse_flow(state, now, expired.item, reason))
         effects.extend(_place_queued(state, now, owned, queue))
@@ -131,6 +130,8 @@
         state.counters.add('written_off', 'max_run')
         decide(state, now, flow, 'write_off', 'max_run', flow.number)
         flow.free()
+        finish(state, now, flow)
+        return []
     _forget(state, flow)
     return []
 
@@ -170,6 +171,23 @@
     return [SendPacket(state.config.gateway, gue.encode(answer))]
 
 
+def withdraw(state: NodeState, now: float, flow: Flow) -> list[Effect]:
+    """End this owner's part in a flow that another owner has admitted.
+
+    Its caller was sent the other backend's SYN-ACK, so it is not refused.
+    """
+    if flow.passed:
+        return []
+    effects = _cancel(flow)
+    give_up(flow)
+    if flow in flow.owned.retrying:
+        flow.owned.retrying.remove(flow)
+    flow.passed = True
+    decide(state, now, flow, 'withdraw', 'foreign_syn_ack')
+    finish(state, now, flow)
+    return effects
+
+
 def finish(state: NodeState, now: float, flow: Flow) -> None:
     """Keep an ended flow for late packets only."""
     flow.phase = Phase.over
@@ -211,11 +229,13 @@
     effects: list[Effect] = []
     entry = queue.peek()
     while entry is not None:
-        load = _choose(owned, entry.item, now)
-        if load is None:
+        is_waiting = entry.item.phase is Phase.waiting
+        load = _choose(owned, entry.item, now) if is_waiting else None
+        if is_waiting and load is None:
             break
         queue.pop()
-        effects.append(send(state, now, entry.item, load))
+        if load is not None:
+            effects.append(send(state, now, entry.item, load))
         entry = queue.peek()
     return effects
 
--- a/apricottally/flows.py
+++ b/apricottally/flows.py
@@ -17,6 +17,9 @@
 from apricottally.routes import Route, Service
 from apricottally.shards import Shard
 
+# Time for which a flow without a slot is kept after its SYN-ACK, and an ended
+# one after its end. SYNs and SYN-ACKs retransmitted within it are recognized.
+LINGER_S = 5.0
 # Time for which the end of a flow is remembered, so that a retransmitted FIN
 # is counted once. It exceeds the first gaps between retransmissions.
 CLOSING_S = 15.0
@@ -179,39 +182,49 @@
         return due
 
 
-class Closings:
-    """Keys of flows whose end was seen lately."""
+class RecentKeys:
+    """Keys seen within the last `kept_s` seconds."""
 
-    __slots__ = ('_ends',)
+    __slots__ = ('_kept_s', '_untils')
 
-    def __init__(self) -> None:
-        self._ends: dict[bytes, float] = {}
+    def __init__(self, kept_s: float) -> None:
+        self._kept_s = kept_s
+        self._untils: dict[bytes, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._untils)
+
+    def __contains__(self, key: bytes) -> bool:
+        return key in self._untils
 
     def add(self, key: bytes, now: float) -> bool:
-        """Note an end; tell whether it is the first one seen."""
-        is_first = self._ends.pop(key, None) is None
-        self._ends[key] = now + CLOSING_S
+        """Note a key; tell whether it was not there."""
+        is_first = self._untils.pop(key, None) is None
+        self._untils[key] = now + self._kept_s
         return is_first
 
     def discard(self, key: bytes) -> None:
-        """Forget a key that a new flow uses."""
-        self._ends.pop(key, None)
+        """Forget a key."""
+        self._untils.pop(key, None)
 
     def expire(self, now: float) -> None:
-        """Forget ends that are long past; the oldest stand first."""
+        """Forget keys that are long past; the oldest stand first."""
         expired = []
-        for key, until in self._ends.items():
+        for key, until in self._untils.items():
             if until > now:
                 break
             expired.append(key)
         for key in expired:
-            self._ends.pop(key)
+            self._untils.pop(key)
 
 
 @dataclass(slots=True, eq=False)
 class Admissions:
     """Everything that a node knows as an owner.
 
+    `closings` are flows that ended lately, `foreign` those whose SYN-ACK was
+    passed on although another owner admitted them.
+
     `loads` is by service and backend number, `by_ip` by the backend's
     address. `young` are services with backends in slow start, weighed anew at
     `reweighed_s`. `services` and `members_version` are what the ownership was
@@ -224,7 +237,12 @@
     by_ip: dict[str, tuple[str, int]] = field(default_factory=dict)
     shards: dict[str, OwnedShard] = field(default_factory=dict)
     timers: Timers = field(default_factory=Timers)
-    closings: Closings = field(default_factory=Closings)
+    closings: RecentKeys = field(
+        default_factory=lambda: RecentKeys(CLOSING_S),
+    )
+    foreign: RecentKeys = field(
+        default_factory=lambda: RecentKeys(LINGER_S),
+    )
     retries: RetryBudgets = field(default_factory=RetryBudgets)
     budget: SynBudget = field(default_factory=SynBudget)
     young: list[Service] = field(default_factory=list)
