--- a/apricottally/leaks.py
+++ b/apricottally/leaks.py
@@ -49,7 +49,7 @@
             'unconfirmed',
             flow.number,
         )
-        load.free(Holding.slot)
+        flow.free()
         attempts.finish(state, now, flow)
 
 
--- a/apricottally/ownership.py
+++ b/apricottally/ownership.py
@@ -97,7 +97,7 @@
         owned.queues[holds] = FairQueue(QUEUE_LIMIT)
     for flow in _list_flows(state, owned):
         if flow.phase in _HELD and flow.load is not None:
-            flow.load.free(flow.holds)
+            flow.free()
         if flow.phase is not Phase.over:
             _drop(state, flow)
 
@@ -193,8 +193,8 @@
     owned.adopted = False
     state.admissions.next_poll = now
     for flow in _list_flows(state, owned):
-        if flow.phase is Phase.established and flow.load is not None:
-            flow.load.free(flow.holds)
+        if flow.phase is Phase.established:
+            flow.free()
             _drop(state, flow)
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -92,6 +92,7 @@
     owner.tick(2)
     assert owner.load(0).busy == 0
     assert owner.count('written_off', 'max_run') == 1
+    assert owner.syn(1) == []
 
 
 def test_slots_are_not_over_admitted() -> None:
@@ -258,12 +259,32 @@
 def test_answers_to_another_owner_pass() -> None:
     """Guards against an open flow cut by an owner that does not know it."""
     owner = Owner()
-    assert owner.answer(1, 0) == [('caller', 'syn_ack')]
+    assert owner.answer(7, 0) == [('caller', 'syn_ack')]
+    assert owner.syn(7) == []
     number = owner.admit(1)
     other = 1 - number
+    # The own backend is not reset early: a third owner may have opened the flow
+    # there.
     assert owner.answer(1, other) == [('caller', 'syn_ack')]
+    assert owner.load(number).busy == 0
     assert owner.close(1, other) == [('caller', 'fin')]
-    assert owner.answer(1, number) == [('caller', 'syn_ack')]
+    assert owner.answer(1, number) == [(number, 'rst')]
+    assert owner.tick(6) == []
+
+
+def test_waiting_syn_is_withdrawn() -> None:
+    """Guards against a refusal after the SYN-ACK of another owner."""
+    owner = Owner(build_backends(1))
+    fill(owner, 2)
+    owner.syn(5)
+    owner.syn(6)
+    assert owner.answer(5, 9, kind='hold') == []
+    other = build_backends(2)[1:]
+    owner.put_backends((*build_backends(1), *other))
+    assert owner.answer(5, 1) == [('caller', 'syn_ack')]
+    assert owner.close(1, 0) == [('caller', 'fin'), (0, 'syn')]
+    assert owner.rules(6)[-1] == ('admit', 'least_outstanding')
+    assert owner.rules(5)[-1] == ('withdraw', 'foreign_syn_ack')
 
 
 @pytest.mark.parametrize(
@@ -373,7 +394,7 @@
 def test_urgent_work_displaces_a_flood() -> None:
     """Guards against urgent SYNs refused for less urgent ones."""
     owner = Owner(build_backends(1), shops=9)
-    fill(owner, 2)
+    fill(owner, 2, kind='sheet')
     for shop in range(9):
         for port in range(100, 160):
             owner.syn(port, 'sheet', shop=shop)
@@ -382,7 +403,7 @@
     assert owner.syn(5) == REFUSED
     assert owner.rules(5) == [('wait', 'no_room')]
     assert owner.count('refused', 'shed_class') == 1
-    assert owner.close(1, 0)[1:] == [(0, 'syn')]
+    assert owner.close(1, 0, kind='sheet')[1:] == [(0, 'syn')]
     assert owner.rules(5)[-1] == ('admit', 'least_outstanding')
 
 
