--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from apricottally import model
@@ -50,10 +51,12 @@
     state: NodeState
     endpoint: Endpoint = LISTEN
     submitted: list[Event] = field(default_factory=list)
+    when_submitted: Callable[[Event], object] = bool
 
     def submit(self, event: Event) -> None:
         self.submitted.append(event)
         reduce(self.state, event)
+        self.when_submitted(event)
 
     def receive(self, *received: Record) -> None:
         revision = max(record.version for record in received)
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,175 @@
+"""The operations page agrees with the code, and its commands work."""
+
+import asyncio
+import re
+import shlex
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from apricottally import addresses, commands
+from apricottally.events import ShutdownRequested
+from apricottally.fields import describe_type
+from apricottally.model import Template, Workspace
+from apricottally.operatorfiles import KINDS
+from apricottally.output import ExitStatus
+from apricottally.platformclient import open_platform as open_client
+from apricottally.settings import SAMPLE, load_settings
+from standins.platform import open_platform
+from tests import codewords
+from tests.asyncruns import LISTEN, in_turn, run
+from tests.nodes import open_control_of
+
+PAGE = Path(__file__).parent.parent.joinpath('docs/operations.md').read_text()
+NODES = ('127.0.1.1:6082', '127.0.1.2:6082')
+PLATFORM = '127.0.0.1:2379'
+
+
+def list_rows(heading: str) -> list[list[str]]:
+    """Cells of the table whose first heading is given."""
+    table = PAGE.split(f'\n| {heading} |', 1)[1].split('\n\n', 1)[0]
+    return [
+        [cell.strip() for cell in line.strip('|').split(' | ')]
+        for line in table.splitlines()[2:]
+    ]
+
+
+def list_words(heading: str) -> set[str]:
+    """Code words in the first column of a table."""
+    return {
+        word
+        for row in list_rows(heading)
+        for word in re.findall('`([^`]+)`', row[0])
+    }
+
+
+def list_files() -> dict[str, str]:
+    """TOML files of the page by name."""
+    return dict(re.findall(r'\n(\S+\.toml):\n\n```toml\n(.+?)```', PAGE, re.S))
+
+
+def list_commands() -> list[str]:
+    blocks = re.findall('```console\n(.+?)```', PAGE, re.S)
+    return [
+        line.removeprefix('$ ')
+        for block in blocks
+        for line in block.splitlines()
+    ]
+
+
+def show_default(info: msgspec.structs.FieldInfo) -> str:
+    if info.required:
+        return 'required'
+    return 'empty' if info.default == () else str(info.default)
+
+
+def test_settings_reference() -> None:
+    """Guards against a reference that differs from the settings read."""
+    expected = {}
+    for table in msgspec.structs.fields(SAMPLE):
+        for info in msgspec.structs.fields(table.type):
+            allowed = describe_type(info.type)
+            if info.name == 'seeds':
+                allowed = 'list of "IP:PORT"'
+            path = f'`{table.name}.{info.name}`'
+            expected[path] = [allowed, show_default(info)]
+    assert {row[0]: row[1:3] for row in list_rows('key')} == expected
+
+
+def test_settings_example(tmp_path) -> None:
+    """Guards against an example that a node refuses."""
+    path = tmp_path / 'node.toml'
+    path.write_text(list_files()['node.toml'])
+    assert load_settings(path).node.name == 'node-1'
+
+
+def test_field_reference() -> None:
+    """Guards against a reference that differs from the operators' files."""
+    expected = {
+        f'`{info.name}`': show_default(info)
+        for kind in (Template, Workspace)
+        for info in msgspec.structs.fields(kind)
+    }
+    assert {row[0]: row[2] for row in list_rows('field')} == expected
+
+
+def test_exit_statuses() -> None:
+    """Guards against an exit status that is not explained."""
+    documented = [int(row[0]) for row in list_rows('exit status')]
+    assert documented == [status.value for status in ExitStatus]
+
+
+@pytest.mark.parametrize(
+    ('heading', 'list_used'),
+    [
+        ('counter', codewords.list_counters),
+        ('reason or rule', codewords.list_reasons),
+        ('event', codewords.list_events),
+    ],
+)
+def test_words_are_explained(heading, list_used) -> None:
+    """Guards against a counter, reason or log event without explanation."""
+    used = list_used()
+    assert used
+    assert used - list_words(heading) == set()
+
+
+class Site:
+    """A platform and two nodes that follow it, at addresses of the page."""
+
+    def __init__(self, platform) -> None:
+        self.addresses = {
+            PLATFORM: addresses.format_endpoint(platform.endpoint),
+        }
+        self.tasks = []
+
+    async def serve_node(self, name: str, shown: str, opened) -> None:
+        stopped = asyncio.Event()
+        async with open_control_of(name) as node:
+            self.addresses[shown] = addresses.format_endpoint(node.endpoint)
+            node.when_submitted = lambda event: (
+                stopped.set() if isinstance(event, ShutdownRequested) else None
+            )
+            self.tasks.append(asyncio.create_task(self.follow(node)))
+            opened.release()
+            await stopped.wait()
+
+    async def follow(self, node) -> None:
+        endpoint = addresses.parse_endpoint(self.addresses[PLATFORM])
+        async with open_client(endpoint) as client:
+            async for batch in client.follow():
+                if batch.records:
+                    node.receive(*batch.records)
+
+    def translate(self, command: str) -> list[str]:
+        program, *arguments = shlex.split(command)
+        assert program == 'apricottally'
+        return [self.addresses.get(word, word) for word in arguments]
+
+
+def test_commands_of_the_page(tmp_path, monkeypatch, capsys) -> None:
+    """Guards against a page whose commands do not work as shown."""
+    monkeypatch.chdir(tmp_path)
+    for name, text in list_files().items():
+        (tmp_path / name).write_text(text)
+
+    async def scenario() -> None:
+        async with open_platform(LISTEN) as platform:
+            site = Site(platform)
+            opened = asyncio.Semaphore(0)
+            for number, shown in enumerate(NODES, start=1):
+                serving = site.serve_node(f'node-{number}', shown, opened)
+                site.tasks.append(asyncio.create_task(serving))
+            async for _ in in_turn(NODES):
+                await opened.acquire()
+            async for command in in_turn(list_commands()):
+                status = await commands.run(site.translate(command))
+                said = capsys.readouterr()
+                assert status == 0, f'{command}\n{said.out}{said.err}'
+            for task in site.tasks:
+                task.cancel()
+            await asyncio.gather(*site.tasks, return_exceptions=True)
+
+    assert len(list_commands()) > len(KINDS)
+    run(scenario())
