--- a/apricottally/configcommands.py
+++ b/apricottally/configcommands.py
@@ -194,7 +194,7 @@
     change = Change(
         key,
         body,
-        options.author or getpass.getuser(),
+        options.author or _find_author(),
         options.operation or publishing.make_operation(),
         options.expect,
     )
@@ -206,6 +206,14 @@
     return Answer(published, _describe(published))
 
 
+def _find_author() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError) as error:
+        problem = 'the login has no name; needs --author NAME'
+        raise CommandError(ExitStatus.usage, problem) from error
+
+
 async def _check_references(
     client: PlatformClient,
     key: str,
--- a/apricottally/nodecommands.py
+++ b/apricottally/nodecommands.py
@@ -17,7 +17,7 @@
 from apricottally.output import Answer, ExitStatus, format_table
 
 # Pause between questions while waiting for nodes.
-_POLL_S = 0.2
+_POLL_S = 0.5
 
 Ask: TypeAlias = Callable[[NodeClient], Awaitable[Message]]
 
--- a/standins/platformfaults.py
+++ b/standins/platformfaults.py
@@ -19,15 +19,18 @@
 class Change(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A change of the faults; fields that are None stay as they are.
 
-    `delay_s` is added to each call. `lose_answers` is the number of writes,
-    from now on, whose answer is lost after they took effect: by a reset of
-    the call or by silence (`loss`). `cut_ips` are callers whose calls hang.
+    `delay_s` is added to each call. `late_s` is the time until a write takes
+    effect, which it then does even if its caller has given up.
+    `lose_answers` is the number of writes, from now on, whose answer is lost
+    after they took effect: by a reset of the call or by silence (`loss`).
+    `cut_ips` are callers whose calls hang.
     `drop_watches` ends the open watches once. `compact` forgets the history
     up to a revision.
     """
 
     outage: Outage | None = None
     delay_s: float | None = None
+    late_s: float | None = None
     lose_answers: int | None = None
     loss: Loss | None = None
     cut_ips: list[str] | None = None
@@ -45,6 +48,7 @@
     def __init__(self) -> None:
         self.outage: Outage = 'none'
         self.delay_s = float(0)
+        self.late_s = float(0)
         self.lose_answers = 0
         self.loss: Loss = 'reset'
         self.cut_ips: frozenset[str] = frozenset()
@@ -55,7 +59,7 @@
 
     def change(self, change: Change) -> None:
         """Put a change in force."""
-        for name in ('outage', 'delay_s', 'lose_answers', 'loss'):
+        for name in ('outage', 'delay_s', 'late_s', 'lose_answers', 'loss'):
             wanted = getattr(change, name)
             if wanted is not None:
                 setattr(self, name, wanted)
--- a/standins/platformservice.py
+++ b/standins/platformservice.py
@@ -1,5 +1,6 @@
 """Key-value and lease services of the platform stand-in: etcd v3 API."""
 
+import asyncio
 import time
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
@@ -176,14 +177,25 @@
         operation: Callable[[Any], Any],
     ) -> None:
         request = await self._receive(method, stream)
+        applying = asyncio.ensure_future(self._apply(operation, request))
+        response, wrote = await asyncio.shield(applying)
+        if not wrote or await self._faults.leave_write(stream):
+            await stream.send_message(response)
+
+    async def _apply(
+        self,
+        operation: Callable[[Any], Any],
+        request: Any,
+    ) -> tuple[Any, bool]:
+        """Carry a write out; tell whether it changed the store."""
+        if self._faults.late_s:
+            await asyncio.sleep(self._faults.late_s)
         former = self._store.revision
         with translated():
             response = operation(request)
         self._store.commit()
         response.header.CopyFrom(build_header(self._store))
-        wrote = self._store.revision > former
-        if not wrote or await self._faults.leave_write(stream):
-            await stream.send_message(response)
+        return response, self._store.revision > former
 
 
 class LeaseService(LeaseBase):
--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -44,6 +44,7 @@
         ({}, 9, 'conflict', False),
         ({'delay_s': 0.1}, 0, 'stored', True),
         ({'delay_s': 2.0}, 0, 'unknown', False),
+        ({'late_s': 0.32}, 0, 'unknown', True),
         ({'outage': 'refuse'}, 0, 'unknown', False),
         ({'outage': 'hang'}, 0, 'unknown', False),
         ({'cut_ips': ['127.0.0.1']}, 0, 'unknown', False),
