Tell the operation id after an interrupt, and clearer tool messages

Cause: Ctrl-C during a write lost the operation id; argument errors named an internal function; `status` repeated the endpoint of an unreachable node.

Change: an interrupted write ends with status 7 and the command to repeat; an interrupt before the write ends with 130. Wrong endpoints, refused connections and the count of writes are said in plain words.

--- a/apricottally/commandline.py
+++ b/apricottally/commandline.py
@@ -12,6 +12,7 @@
     publishing,
     showing,
 )
+from apricottally.addresses import Endpoint
 from apricottally.operatorfiles import KINDS
 from apricottally.output import Answer, ExitStatus
 
@@ -79,7 +80,7 @@
     )
     parser.add_argument(
         '--platform',
-        type=addresses.parse_endpoint,
+        type=_read_endpoint,
         metavar='IP:PORT',
         help="the platform's key-value service",
     )
@@ -197,12 +198,12 @@
     _add_nodes(why)
     why.add_argument(
         'caller',
-        type=addresses.parse_endpoint,
+        type=_read_endpoint,
         metavar='CALLER_IP:PORT',
     )
     why.add_argument(
         'service',
-        type=addresses.parse_endpoint,
+        type=_read_endpoint,
         metavar='SERVICE_IP:PORT',
     )
     why.add_argument(
@@ -217,7 +218,7 @@
 def _add_nodes(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         '--node',
-        type=addresses.parse_endpoint,
+        type=_read_endpoint,
         action='append',
         required=True,
         metavar='IP:PORT',
@@ -235,6 +236,14 @@
     )
 
 
+def _read_endpoint(text: str) -> Endpoint:
+    try:
+        return addresses.parse_endpoint(text)
+    except ValueError as error:
+        problem = f'`{text}` is not an IPv4 address and port, IP:PORT'
+        raise argparse.ArgumentTypeError(problem) from error
+
+
 def _add(
     commands: Parsers,
     name: str,
--- a/apricottally/commands.py
+++ b/apricottally/commands.py
@@ -7,10 +7,17 @@
 from apricottally.commandline import build_parser
 from apricottally.output import CommandError, print_answer, print_failure
 
+# Exit status after SIGINT, as shells report it.
+INTERRUPTED_STATUS = 130
+
 
 def main() -> None:
     """Run the tool and exit with its status."""
-    sys.exit(asyncio.run(run(sys.argv[1:])))
+    try:
+        status = asyncio.run(run(sys.argv[1:]))
+    except KeyboardInterrupt:
+        status = INTERRUPTED_STATUS
+    sys.exit(status)
 
 
 async def run(arguments: Sequence[str]) -> int:
--- a/apricottally/configcommands.py
+++ b/apricottally/configcommands.py
@@ -125,7 +125,7 @@
     table = format_table(('WRITE', 'OPERATION', 'AUTHOR'), rows)
     text = (
         f'{key} version {stored.version}, created at version '
-        f'{stored.created}, written {stored.writes} times since\n{table}\n'
+        f'{stored.created}, {stored.writes} write(s) since\n{table}\n'
         'The platform keeps only the last value. Former values, their '
         'authors, times of writing, and writes before a deletion or older '
         f'than the last {model.RECENT_OPERATIONS + 1} cannot be shown.'
--- a/apricottally/controlclient.py
+++ b/apricottally/controlclient.py
@@ -91,4 +91,6 @@
     except GRPCError as error:
         raise ControlError(f'{name}: {error.message}') from error
     except (OSError, StreamTerminatedError) as error:
-        raise ControlError(f'{name}: not reachable: {error}') from error
+        refused = isinstance(error, ConnectionRefusedError)
+        problem = 'connection refused' if refused else f'lost: {error}'
+        raise ControlError(f'{name}: {problem}') from error
--- a/apricottally/nodecommands.py
+++ b/apricottally/nodecommands.py
@@ -59,7 +59,8 @@
         return await _wait_in_force(options)
     replies = await _ask_all(options, NodeClient.fetch_status)
     rows = [
-        (reply.node, *_sum_up(reply.answer, reply.problem)) for reply in replies
+        (reply.node, *_sum_up(reply.answer, _shorten(reply)))
+        for reply in replies
     ]
     headers = ('ENDPOINT', 'NODE', 'ZONE', 'STATE', 'REVISION', 'MEMBERS')
     sections = [format_table(headers, rows)]
@@ -133,7 +134,7 @@
 
 def _check_force(options: argparse.Namespace, reply: Reply) -> Force:
     if reply.problem:
-        return Force(reply.node, 0, in_force=False, problem=reply.problem)
+        return Force(reply.node, 0, in_force=False, problem=_shorten(reply))
     held = max(
         (
             record.version
@@ -194,6 +195,11 @@
     )
 
 
+def _shorten(reply: Reply) -> str:
+    """Return the problem without the node, which has its own column."""
+    return reply.problem.removeprefix(f'{reply.node}: ')
+
+
 def _describe_node(answer: pb.StatusResponse) -> list[str]:
     members = [
         (each.name, each.zone, each.ip, each.state) for each in answer.members
--- a/apricottally/publishing.py
+++ b/apricottally/publishing.py
@@ -216,6 +216,10 @@
                 return await self._write_until_known()
         except TimeoutError:
             raise self._explain_unknown() from None
+        except asyncio.CancelledError:
+            # The operator has to know the operation id of a write under way.
+            self._reason = 'interrupted'
+            raise self._explain_unknown() from None
 
     async def _write_until_known(self) -> Publication:
         max_pause_s = self._resolve_s * _MAX_PAUSE_PART
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -12,7 +12,7 @@
 from apricottally.model import Document
 from apricottally.publishing import Stored, judge_removal, judge_write
 from standins.platform import Change, open_platform
-from tests.asyncruns import LISTEN
+from tests.asyncruns import LISTEN, run, wait_until
 
 scenarios('features')
 
@@ -278,6 +278,43 @@
     assert world.count_writes('shop') == 2
 
 
+@pytest.mark.parametrize(
+    ('arguments', 'words'),
+    [
+        (('--platform', '::1', 'show'), 'not an IPv4 address and port'),
+        (('publish', 'service', 'name', 'file'), 'invalid choice'),
+        (('status',), '--node'),
+        (('show',), 'needs --platform IP:PORT'),
+        (('validate', 'template', 'name'), 'needs a NAME and a FILE'),
+    ],
+)
+def test_wrong_arguments(capsys, arguments, words) -> None:
+    """Guards against a traceback or a wrong status for a typing error."""
+    try:
+        status = run(commands.run(arguments))
+    except SystemExit as ended:
+        status = ended.code
+    assert status == 2
+    assert words in capsys.readouterr().err
+
+
+def test_interrupted_write(world) -> None:
+    """Guards against an operation id lost by an interrupt."""
+    publish_template(world, 'feed', 443)
+    go_down_after_write(world)
+    path = world.write_workspace('10.9.0.1', 'feed')
+
+    async def interrupt() -> int:
+        asked = world.prepare('publish', 'workspace', 'shop', path)
+        publishing = asyncio.create_task(commands.run(asked))
+        await wait_until(lambda: world.count_writes('shop'))
+        publishing.cancel()
+        return await publishing
+
+    assert world.runner.run(interrupt()) == 7
+    assert '--operation' in world.capsys.readouterr().err
+
+
 def build_stored(version, created, writes, *operations) -> Stored:
     if not operations:
         return Stored(version, created, writes)
