Show what is still refused at the end of the demonstration

Cause: in some runs an owner refused holds until the work ended, 14 s after a balancer was killed, and the table showed only the sum. Change: one more figure, the refusals in the last 5 s of the work.

--- a/demo/audit.py
+++ b/demo/audit.py
@@ -5,7 +5,7 @@
 
 from demo import metrics
 from demo.deployments import Deployment
-from demo.scenario import IN_FORCE_LIMIT_S, Observations
+from demo.scenario import IN_FORCE_LIMIT_S, LATE_S, Observations
 from standins.clientwork import ClientReport
 from standins.protocol import Kind
 from standins.server import Entry, JournalReport
@@ -48,6 +48,7 @@
     figures['retried by reason'] = format_reasons(
         seen.scraper.total(metrics.RETRIED_METRIC),
     )
+    figures[f'refused in the last {LATE_S:.0f} s'] = str(seen.refused_late)
     figures |= format_imbalance(seen)
     figures['in force after publishing (s)'] = format_in_force(seen)
     figures['planned stop'] = f'status {seen.stop_status}, {seen.stop_s:.1f} s'
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -5,7 +5,7 @@
 
 from apricottally import model
 from apricottally.model import MachineState
-from demo import plans, processes
+from demo import metrics, plans, processes
 from demo.cluster import Cluster
 from demo.errors import DemoError
 from demo.metrics import Scraper
@@ -39,6 +39,8 @@
 DRAIN_AT_S = 12.0
 KILL_AT_S = 14.0
 END_AT_S = 28.0
+# Owners have changed and slots are known again 9 s after the kill.
+LATE_S = 5.0
 FINISH_LIMIT_S = 9.0
 REPORT_S = 0.5
 _SLOWER_WAIT_MS = 600
@@ -53,7 +55,7 @@
     balancer had it, None if it took longer than was waited. `stop_status` is
     the planned stop's exit status, None if it did not end. `steady_from` and
     `steady_to` bound the time without changes of backends, in monotonic
-    seconds.
+    seconds. `refused_late` counts refusals in the last seconds of the work.
     """
 
     scraper: Scraper = field(default_factory=Scraper)
@@ -62,6 +64,7 @@
     stop_s: float = 0
     steady_from: float = 0
     steady_to: float = 0
+    refused_late: int = 0
     callers: ClientReport | None = None
     journals: list[JournalReport] = field(default_factory=list)
 
@@ -146,7 +149,15 @@
         self._serving.discard(KILLED)
         self._cluster.balancers[KILLED].kill()
         await self._change_workspace()
+        await self._watch_recovery()
+
+    async def _watch_recovery(self) -> None:
+        """Count what is still refused when the changes are long over."""
+        await self._until(END_AT_S - LATE_S)
+        before = self.seen.scraper.total(metrics.REFUSED_METRIC)
         await self._until(END_AT_S)
+        after = self.seen.scraper.total(metrics.REFUSED_METRIC)
+        self.seen.refused_late = after.total() - before.total()
 
     async def _join_one(self) -> None:
         await self._until(JOIN_AT_S)
