--- a/apricottally/attempts.py
+++ b/apricottally/attempts.py
@@ -4,22 +4,19 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally import balance, gue, packet, retries
+from apricottally import balance, gue, outliers, packet, retries
 from apricottally.addresses import PACKET_PORT
 from apricottally.balance import BackendLoad
 from apricottally.effects import Effect, SendPacket
 from apricottally.explanation import Decision
-from apricottally.fairqueue import CLASSES, FairQueue
-from apricottally.flows import Flow, OwnedShard, Phase
+from apricottally.fairqueue import FairQueue
+from apricottally.flows import LINGER_S, Flow, OwnedShard, Phase, name_attempt
 from apricottally.model import Holding
 from apricottally.routes import Route
 
 if TYPE_CHECKING:
     from apricottally.state import NodeState
 
-# Time for which a flow without a slot is kept after its SYN-ACK, and an ended
-# one after its end. SYNs and SYN-ACKs retransmitted within it are recognized.
-LINGER_S = 5.0
 # Time after which a backend that has not answered a SYN is given up, even if
 # no retry is possible.
 ANSWER_LIMIT_S = 1.0
@@ -55,14 +52,17 @@
     The expected wait is the work queued ahead over the slots of the shard.
     """
     queue = owned.queues[flow.holds]
-    slots = sum(load.backend.slots for load in owned.active)
-    if not queue or not slots:
+    if not queue:
         return ''
     route = flow.route
-    ahead = queue.count_ahead(route.template.urgency, route.workspace)
+    urgency = route.template.urgency
+    slots = owned.reserve.limit(urgency, owned.slots, now)
+    if not slots:
+        return 'shed_class'
+    ahead = queue.count_ahead(urgency, route.workspace)
     waits = [
-        count * owned.run_s.get(urgency, 0) / slots
-        for urgency, count in zip(CLASSES, ahead, strict=False)
+        count * run_s / slots
+        for count, run_s in zip(ahead, owned.reserve.run_s, strict=False)
     ]
     left = flow.deadline - now
     if sum(waits) <= left:
@@ -81,6 +81,8 @@
         effects += _place_retrying(state, now, owned)
     for queue in owned.queues.values():
         for expired in queue.expire(now):
+            if expired.item.phase is not Phase.waiting:
+                continue
             reason = 'deadline' if owned.active else 'no_backend'
             effects.extend(refuse_flow(state, now, expired.item, reason))
         effects.extend(_place_queued(state, now, owned, queue))
@@ -130,8 +132,9 @@
         # The flow ran too long; its packets go on by their cookie.
         state.counters.add('written_off', 'max_run')
         decide(state, now, flow, 'write_off', 'max_run', flow.number)
-        if flow.load is not None:
-            flow.load.free(flow.holds)
+        flow.free()
+        finish(state, now, flow)
+        return []
     _forget(state, flow)
     return []
 
@@ -139,7 +142,7 @@
 def give_up(flow: Flow) -> None:
     """Free what the flow holds at a backend that has not answered it."""
     if flow.load is not None:
-        flow.load.free(flow.holds)
+        flow.free()
         flow.tried += (flow.number,)
     flow.load = None
 
@@ -158,15 +161,52 @@
     )
     state.counters.add('refused', reason)
     decide(state, now, flow, 'refuse', reason)
+    if not flow.tried:
+        route = flow.route
+        queue = flow.owned.queues[flow.holds]
+        queue.charge(route.template.urgency, route.workspace)
     flow.refusal = reason
     if flow.tried:
         finish(state, now, flow)
     else:
         _forget(state, flow)
+        attempt = name_attempt(flow.key, flow.segment.seq + 1)
+        state.admissions.refused.add(attempt, now)
     answer = packet.refuse_syn(flow.segment)
     return [SendPacket(state.config.gateway, gue.encode(answer))]
 
 
+def establish(state: NodeState, now: float, flow: Flow) -> None:
+    """Note that a SYN-ACK of the flow was passed on."""
+    flow.phase = Phase.established
+    flow.passed = True
+    if flow.load is not None:
+        outliers.note_answer(flow.load)
+    if flow.holds is Holding.connection:
+        state.admissions.timers.set(flow, now + LINGER_S)
+        return
+    run_s = flow.route.template.max_run_ms / 1000
+    state.admissions.timers.set(flow, flow.sent_at + run_s)
+    if flow.load is not None:
+        balance.note_accepted(flow.load, now)
+
+
+def withdraw(state: NodeState, now: float, flow: Flow) -> list[Effect]:
+    """End this owner's part in a flow that another owner has admitted.
+
+    Its caller was sent the other backend's SYN-ACK, so it is not refused.
+    """
+    if flow.passed:
+        return []
+    give_up(flow)
+    if flow in flow.owned.retrying:
+        flow.owned.retrying.remove(flow)
+    flow.passed = True
+    decide(state, now, flow, 'withdraw', 'foreign_syn_ack')
+    finish(state, now, flow)
+    return []
+
+
 def finish(state: NodeState, now: float, flow: Flow) -> None:
     """Keep an ended flow for late packets only."""
     flow.phase = Phase.over
@@ -185,6 +225,10 @@
     flow: Flow,
     now: float,
 ) -> BackendLoad | None:
+    if flow.holds is Holding.slot:
+        urgency = flow.route.template.urgency
+        if not owned.reserve.has_room(urgency, owned.slots, now):
+            return None
     return balance.choose(
         owned.active,
         flow.holds,
@@ -204,11 +248,13 @@
     effects: list[Effect] = []
     entry = queue.peek()
     while entry is not None:
-        load = _choose(owned, entry.item, now)
-        if load is None:
+        is_waiting = entry.item.phase is Phase.waiting
+        load = _choose(owned, entry.item, now) if is_waiting else None
+        if is_waiting and load is None:
             break
         queue.pop()
-        effects.append(send(state, now, entry.item, load))
+        if load is not None:
+            effects.append(send(state, now, entry.item, load))
         entry = queue.peek()
     return effects
 
@@ -234,14 +280,13 @@
     load: BackendLoad,
 ) -> Effect:
     """Send the flow's SYN to a backend, whose slot or connection it takes."""
-    load.take(flow.holds)
+    flow.take(load)
     state.invariants.check(
         'slot_over_admitted',
         holds=load.busy <= load.backend.slots,
         detail=load,
     )
     balance.spend_credit(flow.owned.active, load, now)
-    flow.load = load
     flow.phase = Phase.sent
     flow.sent_at = now
     state.admissions.timers.set(flow, now + retries.ANSWER_TIMEOUT_S)
@@ -264,6 +309,8 @@
         _forget(state, flow)
         return []
     if now < flow.sent_at + ANSWER_LIMIT_S and now < flow.deadline:
+        if flow.load is not None:
+            outliers.note_miss(state, flow.load, now)
         effects = retry(state, now, flow, 'no_answer')
         if effects is not None:
             return effects
--- a/apricottally/closing.py
+++ b/apricottally/closing.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally import admission, gue, packet
+from apricottally import endings, gue, packet, succession
 from apricottally.addresses import Endpoint
 from apricottally.effects import Effect, SendPacket
 from apricottally.events import PacketReceived
@@ -31,7 +31,15 @@
 ) -> list[Effect]:
     """Pass a caller's FIN or RST on; a RST frees what the flow held."""
     if _is_notice(handover):
-        return _note(state, event, route, number, segment, from_backend=False)
+        return _tell_owner(
+            state,
+            event,
+            route,
+            number,
+            segment,
+            handover,
+            Direction.caller_notice,
+        )
     inner = packet.clear_number(event.payload, segment)
     endpoint = route.service.endpoints[number]
     effects: list[Effect] = [_pass_on(endpoint, inner)]
@@ -58,7 +66,15 @@
 ) -> list[Effect]:
     """Pass a backend's FIN or RST on; both free what the flow held."""
     if _is_notice(handover):
-        return _note(state, event, route, number, segment, from_backend=True)
+        return _tell_owner(
+            state,
+            event,
+            route,
+            number,
+            segment,
+            handover,
+            Direction.backend_notice,
+        )
     inner = event.payload[segment.start :]
     if segment.timestamps:
         inner = packet.write_number(event.payload, segment, number)
@@ -97,12 +113,15 @@
     direction: Direction,
 ) -> list[Effect]:
     shard = route.service.shard_of[number]
-    if handover is None and not state.owners.owns(shard.name, shard.zone):
+    owner = state.owners.find(shard.name, shard.zone)
+    is_own = owner.name == state.members.own_name
+    passes_on = handover is None or succession.passes_on(state, shard, handover)
+    if passes_on and not is_own:
         state.counters.add('handed_over', direction.name)
         headers = packet.strip_payload(event.payload, segment)
         copied = PacketReceived(event.now, event.source, headers)
-        owner = state.owners.find(shard.name, shard.zone)
-        return [wrap(copied, packet.parse(headers, 0), owner, direction)]
+        parsed = packet.parse(headers, 0)
+        return [wrap(copied, parsed, owner, direction, handover)]
     from_backend = direction is Direction.backend_notice
     return _note(
         state,
@@ -125,7 +144,7 @@
 ) -> list[Effect]:
     make_key = packet.reply_key if from_backend else packet.caller_key
     key = make_key(event.payload, segment.start)
-    return admission.note_close(
+    return endings.note_close(
         state,
         event.now,
         route,
--- a/apricottally/configcommands.py
+++ b/apricottally/configcommands.py
@@ -125,7 +125,7 @@
     table = format_table(('WRITE', 'OPERATION', 'AUTHOR'), rows)
     text = (
         f'{key} version {stored.version}, created at version '
-        f'{stored.created}, written {stored.writes} times since\n{table}\n'
+        f'{stored.created}, {stored.writes} write(s) since\n{table}\n'
         'The platform keeps only the last value. Former values, their '
         'authors, times of writing, and writes before a deletion or older '
         f'than the last {model.RECENT_OPERATIONS + 1} cannot be shown.'
@@ -194,7 +194,7 @@
     change = Change(
         key,
         body,
-        options.author or getpass.getuser(),
+        options.author or _find_author(),
         options.operation or publishing.make_operation(),
         options.expect,
     )
@@ -206,6 +206,14 @@
     return Answer(published, _describe(published))
 
 
+def _find_author() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError) as error:
+        problem = 'the login has no name; needs --author NAME'
+        raise CommandError(ExitStatus.usage, problem) from error
+
+
 async def _check_references(
     client: PlatformClient,
     key: str,
@@ -258,11 +266,13 @@
             f'accepted: {key}, operation {published.op}; a later write has '
             'replaced it since'
         )
-    if published.outcome is Outcome.deleted:
-        return f'deleted: {key}, was version {published.former_version}'
+    deleted = published.outcome is Outcome.deleted
+    done = f'{"deleted" if deleted else "accepted"}: {key}'
+    if not version:
+        return f'{done} does not exist any more'
     return (
-        f'accepted: {key} version {version} (was '
-        f'{published.former_version}), operation {published.op}\n'
+        f'{done} version {version} (was {published.former_version}), '
+        f'operation {published.op}\n'
         'See whether it is in force: apricottally status --node IP:PORT '
         f'--wait 7 --key {key} --version {version}'
     )
--- a/apricottally/daemon.py
+++ b/apricottally/daemon.py
@@ -9,27 +9,17 @@
 import random
 import signal
 import sys
-import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
-from apricottally import dissemination, effects, logs
-from apricottally.addresses import Endpoint
-from apricottally.controlservice import open_control_service
-from apricottally.driver import Driver
+from apricottally import effects
+from apricottally.controlservice import Hooks, open_control
 from apricottally.errors import ApricottallyError, SettingsError
-from apricottally.events import (
-    Event,
-    LoadReport,
-    LoadReported,
-    PacketReceived,
-    PeerReceived,
-    ShutdownRequested,
-    Ticked,
-)
 from apricottally.healthchecks import HealthChecks
+from apricottally.logs import start_logging
 from apricottally.monitoring import open_monitoring
+from apricottally.node import Node
 from apricottally.platformclient import open_platform
 from apricottally.settings import SETTINGS_STATUS, Settings, load_settings
 from apricottally.sockets import open_datagram_socket
@@ -40,47 +30,6 @@
 START_FAILED_STATUS = 3
 
 
-class Node:
-    """A running node: its state, its driver and how it ended."""
-
-    def __init__(self, state: NodeState) -> None:
-        self.state = state
-        self.loop = asyncio.get_running_loop()
-        self.exited: asyncio.Future[int] = self.loop.create_future()
-        self.driver = Driver(state, {})
-
-    def submit(self, event: Event) -> None:
-        """Apply one event."""
-        self.driver.submit(event)
-
-    def receive_packet(self, payload: bytes, source: Endpoint) -> None:
-        """Take a datagram of the packet socket."""
-        self.driver.submit(PacketReceived(self.loop.time(), source, payload))
-
-    def receive_peer(self, payload: bytes, source: Endpoint) -> None:
-        """Take a datagram of the peer socket."""
-        self.driver.submit(PeerReceived(self.loop.time(), source, payload))
-
-    def receive_load(self, ip: str, report: LoadReport | None) -> None:
-        """Take the end of a poll."""
-        self.driver.submit(LoadReported(self.loop.time(), ip, report))
-
-    def shut_down(self) -> None:
-        """Ask for a graceful shutdown; a second time, end at once."""
-        self.driver.submit(ShutdownRequested(self.loop.time()))
-
-    def finish(self, status: int) -> None:
-        """Note the status that the process ends with."""
-        if not self.exited.done():
-            self.exited.set_result(status)
-
-    def is_ready(self) -> bool:
-        """Tell whether the node should get packets from the fabric."""
-        if self.state.shutdown.since is not None:
-            return False
-        return dissemination.is_ready(self.state)
-
-
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the daemon; the entry point of `apricottallyd`."""
     parser = argparse.ArgumentParser(prog='apricottallyd', description=__doc__)
@@ -92,7 +41,7 @@
         for error in group.exceptions:
             print(f'{options.settings}: {error}', file=sys.stderr)
         sys.exit(SETTINGS_STATUS)
-    logs.start(settings.log.level)
+    start_logging(settings.log.level)
     sys.exit(asyncio.run(run(settings, options.settings)))
 
 
@@ -101,7 +50,7 @@
     try:
         async with open_node(settings) as node:
             _add_signals(node, path)
-            logs.write('started', {'node': settings.node.name})
+            node.log('started', {'node': settings.node.name})
             return await node.exited
     except ApricottallyError as error:
         print(f'apricottallyd: {error}', file=sys.stderr)
@@ -120,7 +69,7 @@
         platform = await stack.enter_async_context(
             open_platform(settings.platform.endpoint),
         )
-        watching = Watching(platform, node.submit, node.loop.time, logs.write)
+        watching = Watching(platform, node.submit, node.loop.time, node.log)
         stack.callback(watching.close)
         checks = HealthChecks(node.receive_load)
         stack.callback(checks.close)
@@ -149,7 +98,7 @@
             effects.StopWatch: lambda _: watching.stop(),
             effects.SwapRecord: watching.swap,
             effects.PollLoad: lambda each: checks.poll(each.ips),
-            effects.WriteLog: lambda each: logs.write(each.event, each.fields),
+            effects.WriteLog: lambda each: node.log(each.event, each.fields),
             effects.Exit: lambda each: node.finish(each.status),
         }
         await stack.enter_async_context(
@@ -159,12 +108,14 @@
                 node.is_ready,
             ),
         )
+        hooks = Hooks(
+            submit=node.submit,
+            read_clock=node.loop.time,
+            is_ready=node.is_ready,
+            is_watching=lambda: node.state.control.watch.active,
+        )
         await stack.enter_async_context(
-            open_control_service(
-                (own.ip, own.control_port),
-                node.state,
-                node.shut_down,
-            ),
+            open_control(node.state, hooks, (own.ip, own.control_port)),
         )
         ticker = asyncio.create_task(_tick(node))
         stack.callback(ticker.cancel)
@@ -174,7 +125,7 @@
 async def _tick(node: Node) -> None:
     """Submit a tick ten times a second."""
     while True:
-        node.submit(Ticked(node.loop.time(), time.time()))
+        node.tick()
         await asyncio.sleep(TICK_S)
 
 
@@ -195,17 +146,17 @@
     add = node.loop.add_signal_handler
     add(signal.SIGTERM, node.shut_down)
     add(signal.SIGINT, node.shut_down)
-    add(signal.SIGHUP, _check_settings, path)
+    add(signal.SIGHUP, _check_settings, node, path)
 
 
-def _check_settings(path: Path) -> None:
+def _check_settings(node: Node, path: Path) -> None:
     """Check the settings file again; changes need a restart."""
     problem = ''
     try:
         load_settings(path)
     except* SettingsError as group:
         problem = '; '.join(str(error) for error in group.exceptions)
-    logs.write('settings_checked', {'problem': problem})
+    node.log('settings_checked', {'problem': problem})
 
 
 if __name__ == '__main__':
--- a/apricottally/flows.py
+++ b/apricottally/flows.py
@@ -8,22 +8,26 @@
 
 from apricottally import packet
 from apricottally.balance import TAKEOVER_S, BackendLoad
-from apricottally.fairqueue import Entry, FairQueue
-from apricottally.model import Holding, Urgency
+from apricottally.fairqueue import RANKS, Entry, FairQueue
+from apricottally.model import Holding
 from apricottally.overload import SynBudget
 from apricottally.packet import Segment
+from apricottally.reserve import SlotReserve
 from apricottally.retries import RetryBudgets
 from apricottally.routes import Route, Service
 from apricottally.shards import Shard
 
+# Time for which a flow without a slot is kept after its SYN-ACK, and an ended
+# one after its end. SYNs and SYN-ACKs retransmitted within it are recognized.
+LINGER_S = 5.0
 # Time for which the end of a flow is remembered, so that a retransmitted FIN
 # is counted once. It exceeds the first gaps between retransmissions.
 CLOSING_S = 15.0
+# Time for which a refusal is remembered: two first gaps between SYNs.
+REFUSED_S = 3.0
 _SEQ_MASK = 0xFFFFFFFF
 # Bytes that a flow may have sent before its end is taken for an older one's.
 _MAX_ACKNOWLEDGED = 1 << 30
-# Weight of the last run in the mean run time of a class.
-_RUN_WEIGHT = 0.1
 
 
 class Phase(enum.Enum):
@@ -75,6 +79,23 @@
         """What the flow holds at its backend."""
         return self.route.template.holds
 
+    def take(self, load: BackendLoad) -> None:
+        """Hold a slot or connection of a backend."""
+        self.load = load
+        load.take(self.holds)
+        if self.holds is Holding.slot:
+            rank = RANKS[self.route.template.urgency]
+            self.owned.reserve.held[rank] += 1
+
+    def free(self) -> None:
+        """Count what the flow holds at its backend as free again."""
+        if self.load is None:
+            return
+        self.load.free(self.holds)
+        if self.holds is Holding.slot:
+            rank = RANKS[self.route.template.urgency]
+            self.owned.reserve.held[rank] -= 1
+
     def entry(self) -> Entry[Flow]:
         """Return the flow's entry for the queue."""
         route = self.route
@@ -108,21 +129,26 @@
 class OwnedShard:
     """A shard that this node admits for, with its backends and queues.
 
-    `active` are the backends that may get new flows. `complete` says that a
+    `loads` are the backends whose records let them take new flows, `active`
+    those that seem to be alive as well. `complete` says that a
     former owner handed its counts over, so reports are not needed, `adopted`
     that a takeover is over, `is_owner` that the members name this node; only
     then is it sure that answers come here.
-    `retrying` holds flows that are due for another backend. `run_s` is the
-    mean run time by class, of flows that hold a slot.
+    `retrying` holds flows that are due for another backend. `reserve` keeps
+    slots for urgent work. `was_owner` says that the members have named this
+    node, `handed_over` that the next owner has got what was admitted here.
     """
 
     shard: Shard
     service: Service
     since: float
+    loads: list[BackendLoad] = field(default_factory=list)
     active: list[BackendLoad] = field(default_factory=list)
     queues: dict[Holding, FairQueue[Flow]] = field(default_factory=dict)
     retrying: list[Flow] = field(default_factory=list)
-    run_s: dict[Urgency, float] = field(default_factory=dict)
+    was_owner: bool = False
+    handed_over: bool = False
+    reserve: SlotReserve = field(default_factory=SlotReserve)
     complete: bool = False
     adopted: bool = False
     is_owner: bool = False
@@ -132,10 +158,10 @@
         """Tell whether this owner does not know yet what runs."""
         return not self.complete and now - self.since < TAKEOVER_S
 
-    def note_run(self, urgency: Urgency, run_s: float) -> None:
-        """Add a run to the mean run time of its class."""
-        mean = self.run_s.get(urgency, run_s)
-        self.run_s[urgency] = mean + _RUN_WEIGHT * (run_s - mean)
+    @property
+    def slots(self) -> int:
+        """The slots of the backends that may get new flows."""
+        return sum(load.backend.slots for load in self.active)
 
 
 class Timers:
@@ -163,39 +189,49 @@
         return due
 
 
-class Closings:
-    """Keys of flows whose end was seen lately."""
+class RecentKeys:
+    """Keys seen within the last `kept_s` seconds."""
 
-    __slots__ = ('_ends',)
+    __slots__ = ('_kept_s', '_untils')
 
-    def __init__(self) -> None:
-        self._ends: dict[bytes, float] = {}
+    def __init__(self, kept_s: float) -> None:
+        self._kept_s = kept_s
+        self._untils: dict[bytes, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._untils)
+
+    def __contains__(self, key: bytes) -> bool:
+        return key in self._untils
 
     def add(self, key: bytes, now: float) -> bool:
-        """Note an end; tell whether it is the first one seen."""
-        is_first = self._ends.pop(key, None) is None
-        self._ends[key] = now + CLOSING_S
+        """Note a key; tell whether it was not there."""
+        is_first = self._untils.pop(key, None) is None
+        self._untils[key] = now + self._kept_s
         return is_first
 
     def discard(self, key: bytes) -> None:
-        """Forget a key that a new flow uses."""
-        self._ends.pop(key, None)
+        """Forget a key."""
+        self._untils.pop(key, None)
 
     def expire(self, now: float) -> None:
-        """Forget ends that are long past; the oldest stand first."""
+        """Forget keys that are long past; the oldest stand first."""
         expired = []
-        for key, until in self._ends.items():
+        for key, until in self._untils.items():
             if until > now:
                 break
             expired.append(key)
         for key in expired:
-            self._ends.pop(key)
+            self._untils.pop(key)
 
 
 @dataclass(slots=True, eq=False)
 class Admissions:
     """Everything that a node knows as an owner.
 
+    `closings` are flows that ended lately, `foreign` those whose SYN-ACK was
+    passed on although another owner admitted them.
+
     `loads` is by service and backend number, `by_ip` by the backend's
     address. `young` are services with backends in slow start, weighed anew at
     `reweighed_s`. `services` and `members_version` are what the ownership was
@@ -208,7 +244,15 @@
     by_ip: dict[str, tuple[str, int]] = field(default_factory=dict)
     shards: dict[str, OwnedShard] = field(default_factory=dict)
     timers: Timers = field(default_factory=Timers)
-    closings: Closings = field(default_factory=Closings)
+    closings: RecentKeys = field(
+        default_factory=lambda: RecentKeys(CLOSING_S),
+    )
+    foreign: RecentKeys = field(
+        default_factory=lambda: RecentKeys(LINGER_S),
+    )
+    refused: RecentKeys = field(
+        default_factory=lambda: RecentKeys(REFUSED_S),
+    )
     retries: RetryBudgets = field(default_factory=RetryBudgets)
     budget: SynBudget = field(default_factory=SynBudget)
     young: list[Service] = field(default_factory=list)
@@ -218,3 +262,8 @@
     next_poll: float = 0
     wall_offset: float | None = None
     ticked_at: float | None = None
+
+
+def name_attempt(key: bytes, acknowledged: int) -> bytes:
+    """Return the name of a flow with the number that acknowledges its SYN."""
+    return key + (acknowledged & 0xFFFFFFFF).to_bytes(4, 'big')
--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -12,12 +12,14 @@
     addresses,
     admission,
     closing,
+    endings,
     fastpath,
     gue,
     outbound,
     packet,
     shards,
     silence,
+    succession,
 )
 from apricottally.addresses import Endpoint
 from apricottally.effects import Effect, SendPacket
@@ -79,7 +81,7 @@
     if not flags & (packet.ACK | packet.RST):
         return drop(state, 'foreign_flags')
     if not segment.ts_ecr:
-        return _drop_unnumbered(state, segment)
+        return _receive_unnumbered(state, event, route, segment, handover)
     number = segment.ts_ecr & packet.NUMBER_MASK
     endpoint = route.service.endpoints.get(number)
     if endpoint is None:
@@ -177,15 +179,42 @@
     return effects
 
 
-def _drop_unnumbered(state: NodeState, segment: Segment) -> list[Effect]:
-    """Drop a caller's packet that carries no number.
+def _receive_unnumbered(
+    state: NodeState,
+    event: PacketReceived,
+    route: Route,
+    segment: Segment,
+    handover: Handover | None,
+) -> list[Effect]:
+    """Handle a caller's packet that carries no number.
 
-    Kernels answer data for a closed socket by a reset without timestamps.
-    Nothing tells its backend; that one's own timeouts end the flow.
+    Kernels answer packets for a closed socket by a reset without timestamps.
+    Only the owner may know the flow, which its key leads to as for a SYN.
     """
-    if segment.flags & packet.RST:
+    if not segment.flags & packet.RST:
+        return drop(state, 'no_number')
+    key = packet.caller_key(event.payload, segment.start)
+    service = route.service
+    reachable = state.owners.list_reachable(service.name, service.shards)
+    shard = shards.choose_shard(reachable, key)
+    if shard is None:
         return drop(state, 'reset_without_number')
-    return drop(state, 'no_number')
+    if _is_for_owner(state, shard, handover):
+        return _hand_over(
+            state,
+            event,
+            shard,
+            segment,
+            Direction.caller,
+            handover,
+        )
+    return endings.receive_bare_reset(
+        state,
+        event.now,
+        key,
+        segment,
+        event.payload,
+    )
 
 
 def _receive_syn(
@@ -206,7 +235,14 @@
     if shard is None:
         return admission.refuse(state, segment, 'no_backend')
     if _is_for_owner(state, shard, handover):
-        return _hand_over(state, event, shard, segment, Direction.caller)
+        return _hand_over(
+            state,
+            event,
+            shard,
+            segment,
+            Direction.caller,
+            handover,
+        )
     return admission.receive_syn(
         state,
         event.now,
@@ -271,7 +307,14 @@
         )
     shard = service.shard_of[number]
     if _is_for_owner(state, shard, handover):
-        return _hand_over(state, event, shard, segment, Direction.backend)
+        return _hand_over(
+            state,
+            event,
+            shard,
+            segment,
+            Direction.backend,
+            handover,
+        )
     return _receive_answer(state, event, route, number, segment)
 
 
@@ -307,12 +350,8 @@
     segment: Segment,
     handover: Handover | None,
 ) -> list[Effect]:
-    """Handle a reply from an address that is no backend of the service.
-
-    A SYN-ACK is not handed over: only the owner that chose the backend may
-    pass it on, and the backend sends it again.
-    """
-    if source in state.routes.service_of_ip or segment.flags & packet.SYN:
+    """Handle a reply from an address that is no backend of the service."""
+    if source in state.routes.service_of_ip:
         return drop(state, 'foreign_reply')
     return receive_stray(state, event, segment, handover, 'foreign_reply')
 
@@ -322,12 +361,12 @@
     shard: Shard,
     handover: Handover | None,
 ) -> bool:
-    """Tell whether the packet has to go on to another node.
-
-    A packet that was handed over once stays: nodes with different views
-    would otherwise pass it around.
-    """
-    return handover is None and not state.owners.owns(shard.name, shard.zone)
+    """Tell whether the packet has to go on to another node."""
+    if state.owners.owns(shard.name, shard.zone):
+        return False
+    if handover is None:
+        return True
+    return succession.passes_on(state, shard, handover)
 
 
 def _hand_over(
@@ -336,7 +375,8 @@
     shard: Shard,
     segment: Segment,
     direction: Direction,
+    former: Handover | None,
 ) -> list[Effect]:
     owner = state.owners.find(shard.name, shard.zone)
     state.counters.add('handed_over', direction.name)
-    return [wrap(event, segment, owner, direction)]
+    return [wrap(event, segment, owner, direction, former)]
--- a/apricottally/gue.py
+++ b/apricottally/gue.py
@@ -28,6 +28,12 @@
 MAX_HEADER_LENGTH = 128
 
 
+# A packet is handed over once, and once more by a node that knows for certain
+# that it is not the owner any more. The limit keeps views that differ from
+# passing a packet around.
+LAST_HOP = 2
+
+
 class Direction(enum.IntEnum):
     """Where a handed-over packet came from."""
 
--- a/apricottally/outbound.py
+++ b/apricottally/outbound.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from apricottally import gue, packet
 from apricottally.effects import Effect, SendPacket
+from apricottally.errors import WireError
 from apricottally.gue import Handover
 from apricottally.packet import Segment
 
@@ -20,8 +22,7 @@
 _REFUSAL = packet.RST | packet.ACK
 
 
-@dataclass(frozen=True, slots=True)
-class Cause:
+class Cause(msgspec.Struct, frozen=True, gc=False):
     """The received packet that led to the effects."""
 
     datagram: bytes
@@ -47,24 +48,42 @@
     effect: SendPacket,
     cause: Cause | None,
 ) -> bool:
-    start, handover = gue.decode(effect.payload)
+    try:
+        segment, handover = _parse(effect.payload)
+    except WireError as error:
+        return state.invariants.check(
+            'malformed_packet',
+            holds=False,
+            detail=error.reason,
+        )
     if handover is not None:
         return state.invariants.check(
             'second_handover',
-            holds=not _is_again(effect.payload, cause),
+            holds=not _is_again(effect.payload, handover, cause),
         )
-    segment = packet.parse(effect.payload, start)
     if effect.dest == state.config.gateway:
         return _is_valid_reply(state, segment, cause)
     return _is_valid_request(state, effect, segment, cause)
 
 
-def _is_again(datagram: bytes, cause: Cause | None) -> bool:
-    """Tell whether a packet that was handed over is handed over again."""
+def _parse(datagram: bytes) -> tuple[Segment, Handover | None]:
+    start, handover = gue.decode(datagram)
+    return packet.parse(datagram, start), handover
+
+
+def _is_again(
+    datagram: bytes,
+    handover: Handover,
+    cause: Cause | None,
+) -> bool:
+    """Tell whether a packet is handed over beyond the limit of hops."""
     if cause is None or cause.handover is None:
-        return False
+        return handover.hops > gue.LAST_HOP
     inner = cause.datagram[cause.segment.start :]
-    return datagram[gue.HANDOVER_LENGTH :] == inner
+    if datagram[gue.HANDOVER_LENGTH :] != inner:
+        return False
+    is_next = handover.hops == cause.handover.hops + 1
+    return not is_next or handover.hops > gue.LAST_HOP
 
 
 def _is_valid_reply(
--- a/apricottally/ownership.py
+++ b/apricottally/ownership.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally import balance, slowstart
+from apricottally import balance, outliers, slowstart
 from apricottally.balance import BackendLoad
 from apricottally.effects import Effect, PollLoad
 from apricottally.fairqueue import FairQueue
@@ -86,12 +86,22 @@
     admissions.ticked_at = now
     state.counters.add('fenced', 'paused')
     for owned in admissions.shards.values():
-        owned.retrying.clear()
-        for holds in Holding:
-            owned.queues[holds] = FairQueue(QUEUE_LIMIT)
+        drop_flows(state, owned)
         _take_over_again(state, now, owned)
 
 
+def drop_flows(state: NodeState, owned: OwnedShard) -> None:
+    """Forget the flows of a shard and free what they hold."""
+    owned.retrying.clear()
+    for holds in Holding:
+        owned.queues[holds] = FairQueue(QUEUE_LIMIT)
+    for flow in _list_flows(state, owned):
+        if flow.phase in _HELD and flow.load is not None:
+            flow.free()
+        if flow.phase is not Phase.over:
+            _drop(state, flow)
+
+
 def poll(state: NodeState, now: float) -> list[Effect]:
     """Ask the owned backends for their load when it is time."""
     admissions = state.admissions
@@ -101,7 +111,7 @@
     takeover = any(owned.is_takeover(now) for owned in shards)
     interval = TAKEOVER_POLL_S if takeover else POLL_INTERVAL_S
     admissions.next_poll = now + interval
-    loads = [load for owned in shards for load in owned.active]
+    loads = [load for owned in shards for load in owned.loads]
     if not loads:
         return []
     for load in loads:
@@ -113,6 +123,7 @@
     """End takeovers, and forget shards that another node now owns."""
     admissions = state.admissions
     for name, owned in list(admissions.shards.items()):
+        outliers.choose_active(state, owned, now)
         if not owned.adopted and not owned.is_takeover(now):
             owned.adopted = True
             if not owned.complete:
@@ -133,6 +144,7 @@
             owned = _build(state, now, service, shard)
         if owned is not None:
             owned.is_owner = is_owner
+            owned.was_owner |= is_owner
             _update(state, now, owned, service, shard)
 
 
@@ -181,9 +193,8 @@
     owned.adopted = False
     state.admissions.next_poll = now
     for flow in _list_flows(state, owned):
-        if flow.phase in _HELD and flow.load is not None:
-            flow.load.free(flow.holds)
-        if flow.phase is not Phase.over:
+        if flow.phase is Phase.established:
+            flow.free()
             _drop(state, flow)
 
 
@@ -195,12 +206,17 @@
     is_new: bool,
 ) -> None:
     """Bring the backends of a shard up to date with the records."""
-    active = []
-    for number in owned.shard.numbers:
-        backend = owned.service.backends[number]
-        load = _find_load(state, now, owned, backend, is_new=is_new)
-        active.append(load)
-    owned.active = active
+    owned.loads = [
+        _find_load(
+            state,
+            now,
+            owned,
+            owned.service.backends[number],
+            is_new=is_new,
+        )
+        for number in owned.shard.numbers
+    ]
+    outliers.choose_active(state, owned, now)
 
 
 def _find_load(
@@ -239,7 +255,7 @@
     """Drop a shard with its counts: another owner has newer ones."""
     admissions = state.admissions
     admissions.shards.pop(owned.shard.name)
-    for load in owned.active:
+    for load in owned.loads:
         admissions.loads.pop((owned.service.name, load.backend.number), None)
         admissions.by_ip.pop(load.backend.ip, None)
     for flow in _list_flows(state, owned):
--- a/apricottally/reducer.py
+++ b/apricottally/reducer.py
@@ -17,6 +17,7 @@
     peerlink,
     shutdown,
     silence,
+    succession,
     watch,
 )
 from apricottally.effects import Effect
@@ -48,6 +49,7 @@
         *peerlink.tick(state, event.now),
         *numbering.tick(state, event),
         *outbound.keep_valid(state, admitted),
+        *succession.tick(state, event.now),
         *shutdown.tick(state, event.now),
     ]
 
--- a/apricottally/state.py
+++ b/apricottally/state.py
@@ -65,3 +65,8 @@
         self.suspects = Suspects()
         self.strays = Budget()
         self.shutdown = Shutdown()
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a graceful shutdown has begun."""
+        return self.shutdown.since is not None
--- a/apricottally/strays.py
+++ b/apricottally/strays.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
 import xxhash
 
 from apricottally import addresses, gue, packet
@@ -58,9 +59,11 @@
 ) -> list[Effect]:
     """Hand a packet over to another member, or drop it for `reason`.
 
-    A packet that was handed over already is dropped.
+    A packet that was handed over already is dropped. So is one with SYN: any
+    member would admit it as if it owned the shard, and the SYN-ACK would go
+    to the true owner, which knows nothing of it.
     """
-    if handover is not None:
+    if handover is not None or segment.flags & packet.SYN:
         return drop(state, reason)
     member = _choose_member(state, event.payload, segment)
     if member is None:
@@ -76,10 +79,17 @@
     segment: Segment,
     member: Member,
     direction: Direction,
+    former: Handover | None = None,
 ) -> Effect:
-    """Return the effect that hands the packet over to a member."""
-    ip, port = event.source
-    handover = Handover(direction, 1, port, addresses.parse_ip(ip))
+    """Return the effect that hands the packet over to a member.
+
+    `former` is the extension that the packet came with, if any.
+    """
+    if former is None:
+        ip, port = event.source
+        handover = Handover(direction, 1, port, addresses.parse_ip(ip))
+    else:
+        handover = msgspec.structs.replace(former, hops=former.hops + 1)
     inner = event.payload[segment.start :]
     return SendPacket(member.packet, gue.encode_handover(handover, inner))
 
