--- a/apricottally/admission.py
+++ b/apricottally/admission.py
@@ -46,14 +46,14 @@
     if known is not None and not _is_replaced(known, segment):
         return _repeat_syn(state, known, segment, datagram)
     attempt = name_attempt(key, segment.seq + 1)
-    if attempt in admissions.refused:
-        state.counters.add('refused_again', 'repeated_syn')
-        answer = packet.refuse_syn(segment)
-        return [SendPacket(state.config.gateway, gue.encode(answer))]
     if attempt in admissions.foreign:
         # The backend that another owner chose sends its SYN-ACK again.
         state.counters.add('dropped', 'repeated_syn')
         return []
+    if attempt in admissions.refused:
+        state.counters.add('refused_again', 'repeated_syn')
+        answer = packet.refuse_syn(segment)
+        return [SendPacket(state.config.gateway, gue.encode(answer))]
     refusal = screen_syn(state, now, route, segment, key)
     if refusal:
         return refusal
@@ -132,6 +132,9 @@
     key = packet.reply_key(datagram, segment.start)
     flow = state.admissions.flows.get(key)
     if flow is None:
+        if name_attempt(key, segment.ack) in state.admissions.foreign:
+            state.counters.add('dropped', 'late_refusal')
+            return []
         # Another owner chose this backend; the caller's SYN is refused.
         return _pass_to_caller(state, number, segment, datagram)
     is_current = flow.number == number and flow.answers(segment)
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -19,7 +19,7 @@
 from standins.platform import open_platform
 from tests import codewords
 from tests.asyncruns import LISTEN, in_turn, run
-from tests.nodes import open_control_of
+from tests.controlled import open_control_of
 
 PAGE = Path(__file__).parent.parent.joinpath('docs/operations.md').read_text()
 NODES = ('127.0.1.1:6082', '127.0.1.2:6082')
