Check ownership in parts, and forget shards that are gone

Cause: at each change of members every shard of the region was checked at once, which hashes all nodes of a zone for each and holds packets up. Shards that no record names any more were kept and polled.

Change: held shards are brought up to date at once; 50 shards a tick are checked for ownership. Shards that are gone lose their backends and are forgotten when idle. Only services with new backends are weighed anew.

Each new guard was broken on purpose in a scratch copy and made a test fail.

--- a/apricottally/flows.py
+++ b/apricottally/flows.py
@@ -227,9 +227,10 @@
 
     `loads` is by service and backend number, `by_ip` by the backend's
     address. `young` are services with backends in slow start, weighed anew at
-    `reweighed_s`. `services` and `members_version` are what the ownership was
-    computed from. `wall_offset` is Unix time minus monotonic time, None
-    before the first tick.
+    `reweighed_s`. `services` and `members_version` are what the ownership is
+    computed from, and `unchecked` the shards for which it is not yet.
+    `wall_offset` is Unix time minus monotonic time, None before the first
+    tick.
     """
 
     flows: dict[bytes, Flow] = field(default_factory=dict)
@@ -249,5 +250,6 @@
     reweighed_s: int = 0
     services: dict[str, Service] | None = None
     members_version: int = 0
+    unchecked: list[tuple[Service, Shard]] = field(default_factory=list)
     next_poll: float = 0
     wall_offset: float | None = None
--- a/apricottally/ownership.py
+++ b/apricottally/ownership.py
@@ -19,6 +19,8 @@
 # SYNs that wait at one owner for one shard, at most.
 QUEUE_LIMIT = 512
 POLL_INTERVAL_S = 2.0
+# Shards checked for ownership at one tick. A check hashes all nodes of a zone.
+CHECKED_PER_TICK = 50
 # A new owner admits by reports alone, so it asks more often.
 TAKEOVER_POLL_S = 0.5
 # Time after the last SYN for which a shard that another node owns is kept.
@@ -54,19 +56,15 @@
     ):
         admissions.services = services
         admissions.members_version = state.members.version
-        admissions.young = list(services.values())
+        admissions.young = slowstart.list_young(services.values(), int(wall_s))
         admissions.reweighed_s = 0
-        for service in services.values():
-            _own_shards(state, now, service)
+        _update_held(state, now)
+    _check_shards(state, now)
     second = int(wall_s)
     if admissions.young and second != admissions.reweighed_s:
         admissions.reweighed_s = second
         slowstart.reweigh(admissions.young, second)
-        admissions.young = [
-            service
-            for service in admissions.young
-            if slowstart.has_young(service, second)
-        ]
+        admissions.young = slowstart.list_young(admissions.young, second)
 
 
 def poll(state: NodeState, now: float) -> list[Effect]:
@@ -87,22 +85,42 @@
 
 
 def settle(state: NodeState, now: float) -> None:
-    """End takeovers, and forget shards that another node now owns."""
-    admissions = state.admissions
-    for name, owned in list(admissions.shards.items()):
+    """End takeovers, and forget shards that this node does not own."""
+    for owned in list(state.admissions.shards.values()):
         if not owned.adopted and not owned.is_takeover(now):
             owned.adopted = True
             if not owned.complete:
                 balance.adopt_connections(owned.active, now)
         waiting = [*owned.retrying, *filter(len, owned.queues.values())]
         is_idle = now - owned.used_at > KEPT_S and not waiting
-        if is_idle and not state.owners.owns(name, owned.shard.zone):
+        if is_idle and not owned.is_owner:
             _forget(state, owned)
 
 
-def _own_shards(state: NodeState, now: float, service: Service) -> None:
-    for shard in service.shards:
-        owned = state.admissions.shards.get(shard.name)
+def _update_held(state: NodeState, now: float) -> None:
+    """Bring held shards up to date, and list those to check for ownership."""
+    admissions = state.admissions
+    current = {
+        shard.name: (service, shard)
+        for service in state.routes.services.values()
+        for shard in service.shards
+    }
+    for name, owned in admissions.shards.items():
+        found = current.get(name)
+        if found is None:
+            owned.active = []
+            owned.is_owner = False
+        else:
+            _update(state, now, owned, *found)
+    admissions.unchecked = list(current.values())
+
+
+def _check_shards(state: NodeState, now: float) -> None:
+    """Check some shards; all of a region at once would hold packets up."""
+    admissions = state.admissions
+    for _ in range(min(len(admissions.unchecked), CHECKED_PER_TICK)):
+        service, shard = admissions.unchecked.pop()
+        owned = admissions.shards.get(shard.name)
         is_owner = state.owners.owns(shard.name, shard.zone)
         if owned is not None and is_owner and not owned.is_owner:
             _take_over_again(state, now, owned)
@@ -110,7 +128,6 @@
             owned = _build(state, now, service, shard)
         if owned is not None:
             owned.is_owner = is_owner
-            _update(state, now, owned, service, shard)
 
 
 def _build(
--- a/apricottally/slowstart.py
+++ b/apricottally/slowstart.py
@@ -34,13 +34,17 @@
     return min(max(wall_s - backend.changed_s, 0), FULL_AGE_S)
 
 
-def has_young(service: Service, wall_s: float) -> bool:
-    """Tell whether a backend of the service is in slow start."""
-    return any(
-        backend.changed_s + FULL_AGE_S > wall_s
-        for backend in service.backends.values()
-        if backend.state is BackendState.active
-    )
+def list_young(services: Iterable[Service], wall_s: int) -> list[Service]:
+    """Return the services with a backend in slow start."""
+    return [
+        service
+        for service in services
+        if any(
+            backend.changed_s + FULL_AGE_S > wall_s
+            for backend in service.backends.values()
+            if backend.state is BackendState.active
+        )
+    ]
 
 
 def reweigh(services: Iterable[Service], wall_s: int) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -319,6 +319,17 @@
     assert owner.count('refused', 'node_overload') == before
 
 
+def test_waiting_syn_avoids_a_draining_backend() -> None:
+    """Guards against a freed slot that a backend which leaves still gives."""
+    owner = Owner(build_backends(1))
+    fill(owner, 2)
+    owner.syn(5)
+    owner.put_backends(build_backends(1, state=BackendState.draining))
+    assert owner.close(1, 0) == [('caller', 'fin')]
+    assert owner.tick(0.6) == REFUSED
+    assert owner.rules(5)[-1] == ('refuse', 'no_backend')
+
+
 def test_drain_and_loss_of_all_backends() -> None:
     """Guards against new flows on a backend that leaves."""
     owner = Owner()
@@ -403,3 +414,33 @@
     assert owner.count('refused', 'shed_class') == 1
     assert owner.close(1, 0, kind='sheet')[1:] == [(0, 'syn')]
     assert owner.rules(5)[-1] == ('admit', 'least_outstanding')
+
+
+def test_regained_shard_starts_anew() -> None:
+    """Guards against slots held for flows that ended at another owner."""
+    owner = Owner(build_backends(1))
+    fill(owner, 2)
+    own = owner.state.members.own
+    other = msgspec.structs.replace(own, name='n2', ip='127.1.0.2')
+    leaving = msgspec.structs.replace(own, state=MemberState.leaving)
+    owner.state.members.put(other)
+    owner.state.members.put(leaving)
+    owner.tick(1)
+    owner.state.members.remove('n2')
+    owner.state.members.put(own)
+    owner.tick(0.1)
+    assert owner.load(0).busy == 0
+    # Now reports decide again.
+    assert owner.syn(5) == []
+    assert owner.report(0, 1) == [(0, 'syn')]
+
+
+def test_shard_of_no_owner_is_forgotten() -> None:
+    """Guards against shards that are polled after they are gone."""
+    owner = Owner(build_backends(1))
+    owner.open(1)
+    owner.put_backends(())
+    owner.tick(12)
+    assert not owner.state.admissions.shards
+    assert not owner.state.admissions.flows
+    assert not owner.polled
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -191,6 +191,21 @@
     assert service.shards[0].weight == 6
 
 
+def test_weights_grow_with_the_clock() -> None:
+    """Guards against weights that stay at what they were at first."""
+    owner = Owner(build_backends(2))
+    old = build_backends(3)
+    new = msgspec.structs.replace(old[2], changed_s=int(WALL_S + owner.now))
+    owner.put_backends((*old[:2], new))
+    services = owner.state.routes.services
+    shard = services['desk'].shards[0]
+    weights = [shard.weight]
+    for _ in range(3):
+        owner.tick(5)
+        weights.append(shard.weight)
+    assert weights == pytest.approx([4, 4.6, 5.6, 6])
+
+
 def test_new_backend_waits_until_its_number_is_known() -> None:
     """Guards against flows with a number that other nodes do not know."""
     owner = Owner(build_backends(1))
