--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -235,7 +235,9 @@
     if shard is None:
         return admission.refuse(state, segment, 'no_backend')
     if _is_for_owner(state, shard, handover):
-        return _hand_over(
+        # A node that has no time for a SYN refuses it before the hop.
+        refusal = admission.screen_syn(state, event.now, route, segment, key)
+        return refusal or _hand_over(
             state,
             event,
             shard,
--- a/apricottally/succession.py
+++ b/apricottally/succession.py
@@ -73,7 +73,8 @@
 ) -> list[Effect]:
     owner = state.owners.find(owned.shard.name, owned.shard.zone)
     if owner.name == state.members.own_name:
-        # No other node is left.
+        # The shard is gone from the records; its flows go on by their cookie.
+        owned.handed_over = True
         return []
     owned.handed_over = True
     exported = occupancy.export_shard(state, now, owned)
