--- a/tests/owner.py
+++ b/tests/owner.py
@@ -111,6 +111,12 @@
         self.polled = [one for one in effects if isinstance(one, PollLoad)]
         return describe(effects)
 
+    def send_wall(self, wall_s: float) -> None:
+        """Tick with a wall clock that has jumped."""
+        for _ in range(20):
+            self.now += 0.1
+            self.send(Ticked(self.now, wall_s + self.now))
+
     def report(self, number: int, busy: int, opened=0, state='ready'):
         report = LoadReport(busy, opened, state)
         ip = f'127.2.0.{number + 1}'
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,137 @@
+"""The daemon as a process: starts, refuses to start, and ends as documented."""
+
+import contextlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from urllib import error, request
+
+import pytest
+
+from apricottally.addresses import MONITORING_PORT, PACKET_PORT
+from tests.nodes import loopback_ip
+from tests.owner import WALL_S, Owner
+
+START_LIMIT_S = 15
+STOP_LIMIT_S = 15
+# Nothing listens there.
+NO_PLATFORM = '127.0.0.1:9'
+
+
+def write_settings(folder: Path, extra: str = '') -> Path:
+    path = folder / 'node.toml'
+    path.write_text(
+        f'[node]\nname = "n1"\nzone = "sv-a"\nip = "{loopback_ip()}"\n'
+        f'gateway = "127.0.0.1:6090"\n{extra}\n'
+        f'[platform]\nendpoint = "{NO_PLATFORM}"\n'
+    )
+    return path
+
+
+@contextlib.contextmanager
+def start(path: Path) -> Iterator[subprocess.Popen]:
+    command = (
+        sys.executable,
+        '-m',
+        'apricottally.daemon',
+        '--settings',
+        str(path),
+    )
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def fetch_status(path: str) -> int:
+    """Return the HTTP status of the node's monitoring endpoint, 0 if none."""
+    url = f'http://{loopback_ip()}:{MONITORING_PORT}{path}'
+    try:
+        with request.urlopen(url, timeout=1) as answer:
+            return answer.status
+    except error.HTTPError as refused:
+        return refused.code
+    except OSError:
+        return 0
+
+
+def wait_live() -> None:
+    limit = time.monotonic() + START_LIMIT_S
+    while fetch_status('/live') != 200:
+        assert time.monotonic() < limit
+        time.sleep(0.05)
+
+
+def test_unreachable_platform_at_start(tmp_path: Path) -> None:
+    """Guards against a node that ends, or takes traffic, without a platform."""
+    with start(write_settings(tmp_path)) as process:
+        wait_live()
+        assert fetch_status('/ready') == 503
+        assert process.poll() is None
+
+
+@pytest.mark.parametrize(('signals', 'status'), [(1, 0), (2, 1)])
+def test_sigterm(tmp_path: Path, signals: int, status: int) -> None:
+    """Guards against a stop that never ends, or that cannot be forced."""
+    with start(write_settings(tmp_path)) as process:
+        wait_live()
+        for _ in range(signals):
+            process.send_signal(signal.SIGTERM)
+            time.sleep(0.3)
+        assert process.wait(STOP_LIMIT_S) == status
+
+
+def test_sighup_checks_the_settings(tmp_path: Path) -> None:
+    """Guards against a node that a habitual reload ends."""
+    path = write_settings(tmp_path)
+    with start(path) as process:
+        wait_live()
+        path.write_text('[node]\n')
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        assert fetch_status('/live') == 200
+        process.send_signal(signal.SIGTERM)
+        _, log = process.communicate(timeout=STOP_LIMIT_S)
+    events = [json.loads(line) for line in log.splitlines()]
+    checked = [each for each in events if each['event'] == 'settings_checked']
+    assert len(checked) == 1
+    assert 'node.name' in checked[0]['fields']['problem']
+
+
+def test_port_in_use(tmp_path: Path) -> None:
+    """Guards against a traceback when another process has the port."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind((loopback_ip(), PACKET_PORT))
+        with start(write_settings(tmp_path)) as process:
+            _, log = process.communicate(timeout=START_LIMIT_S)
+    assert process.returncode == 3
+    assert 'the port is in use' in log
+    assert 'Traceback' not in log
+
+
+def test_all_faults_of_the_settings(tmp_path: Path) -> None:
+    """Guards against an operator who finds one fault a start."""
+    path = write_settings(tmp_path, 'peer_port = 0\nspeed = 1')
+    with start(path) as process:
+        _, log = process.communicate(timeout=START_LIMIT_S)
+    assert process.returncode == 2
+    assert 'node.peer_port' in log
+    assert 'node.speed' in log
+
+
+@pytest.mark.parametrize('jump_s', [-86_400, 86_400])
+def test_clock_that_jumps(jump_s: int) -> None:
+    """Guards against timeouts and slow start that follow the wall clock."""
+    owner = Owner()
+    number = owner.open(1)
+    owner.send_wall(WALL_S + jump_s)
+    assert owner.load(number).busy == 1
+    assert owner.admit(2) in {0, 1}
+    assert owner.count('refused') == 0
