--- a/bench/flood.py
+++ b/bench/flood.py
@@ -21,8 +21,8 @@
 LONG_S = 1.0
 # Mean run of a download from the second service.
 DOWNLOAD_S = 1 / 15
-# A node 10 times slower than measured, so that a tenfold rush fills its CPU. One
-# node admits for a whole service here, so it must still carry its calm load.
+# A node 10 times slower than measured, so that a tenfold rush fills its CPU.
+# One node admits for a whole service, so it must still carry its calm load.
 SLOW_NODE = Costs(5e-4, 2e-4, 1.5e-4, 500)
 
 LIES: dict[str, Callable[[int, int], int]] = {
