Pass a received packet as one typed value

Cause: event, segment and hand-over extension stood side by side in the arguments of some twenty functions, and outbound had a type of its own for them. Change: arrivals.Arrival replaces all three and outbound.Cause; behaviour stays. Conclusion: shorter signatures, one type for one thing.

--- a/apricottally/closing.py
+++ b/apricottally/closing.py
@@ -8,10 +8,12 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from apricottally import endings, gue, packet, succession
 from apricottally.addresses import Endpoint
+from apricottally.arrivals import Arrival
 from apricottally.effects import Effect, SendPacket
-from apricottally.events import PacketReceived
 from apricottally.gue import Direction, Handover
 from apricottally.packet import Segment
 from apricottally.routes import Route
@@ -23,70 +25,40 @@
 
 def close_from_caller(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
     number: int,
-    segment: Segment,
-    handover: Handover | None,
 ) -> list[Effect]:
     """Pass a caller's FIN or RST on; a RST frees what the flow held."""
-    if _is_notice(handover):
+    if _is_notice(arrival.handover):
         return _tell_owner(
-            state,
-            event,
-            route,
-            number,
-            segment,
-            handover,
-            Direction.caller_notice,
+            state, arrival, route, number, Direction.caller_notice
         )
-    inner = packet.clear_number(event.payload, segment)
+    inner = packet.clear_number(arrival.payload, arrival.segment)
     endpoint = route.service.endpoints[number]
     effects: list[Effect] = [_pass_on(endpoint, inner)]
-    if segment.flags & packet.RST:
+    if arrival.segment.flags & packet.RST:
         effects += _tell_owner(
-            state,
-            event,
-            route,
-            number,
-            segment,
-            handover,
-            Direction.caller_notice,
+            state, arrival, route, number, Direction.caller_notice
         )
     return effects
 
 
 def close_from_backend(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
     number: int,
-    segment: Segment,
-    handover: Handover | None,
 ) -> list[Effect]:
     """Pass a backend's FIN or RST on; both free what the flow held."""
-    if _is_notice(handover):
+    if _is_notice(arrival.handover):
         return _tell_owner(
-            state,
-            event,
-            route,
-            number,
-            segment,
-            handover,
-            Direction.backend_notice,
+            state, arrival, route, number, Direction.backend_notice
         )
-    inner = event.payload[segment.start :]
-    if segment.timestamps:
-        inner = packet.write_number(event.payload, segment, number)
-    told = _tell_owner(
-        state,
-        event,
-        route,
-        number,
-        segment,
-        handover,
-        Direction.backend_notice,
-    )
+    inner = arrival.payload[arrival.segment.start :]
+    if arrival.segment.timestamps:
+        inner = packet.write_number(arrival.payload, arrival.segment, number)
+    told = _tell_owner(state, arrival, route, number, Direction.backend_notice)
     return [_pass_on(state.config.gateway, inner), *told]
 
 
@@ -105,51 +77,45 @@
 
 def _tell_owner(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
     number: int,
-    segment: Segment,
-    handover: Handover | None,
     direction: Direction,
 ) -> list[Effect]:
     shard = route.service.shard_of[number]
     owner = state.owners.find(shard.name, shard.zone)
     is_own = owner.name == state.members.own_name
+    handover = arrival.handover
     passes_on = handover is None or succession.passes_on(state, shard, handover)
     if passes_on and not is_own:
         state.counters.add('handed_over', direction.name)
-        headers = packet.strip_payload(event.payload, segment)
-        copied = PacketReceived(event.now, event.source, headers)
-        parsed = packet.parse(headers, 0)
-        return [wrap(copied, parsed, owner, direction, handover)]
+        headers = packet.strip_payload(arrival.payload, arrival.segment)
+        notice = msgspec.structs.replace(
+            arrival,
+            payload=headers,
+            segment=packet.parse(headers, 0),
+        )
+        return [wrap(notice, owner, direction)]
     from_backend = direction is Direction.backend_notice
-    return _note(
-        state,
-        event,
-        route,
-        number,
-        segment,
-        from_backend=from_backend,
-    )
+    return _note(state, arrival, route, number, from_backend=from_backend)
 
 
 def _note(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
     number: int,
-    segment: Segment,
     *,
     from_backend: bool,
 ) -> list[Effect]:
     make_key = packet.reply_key if from_backend else packet.caller_key
-    key = make_key(event.payload, segment.start)
+    key = make_key(arrival.payload, arrival.segment.start)
     return endings.note_close(
         state,
-        event.now,
+        arrival.now,
         route,
         number,
-        segment,
+        arrival.segment,
         key,
         from_backend=from_backend,
     )
--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -22,12 +22,12 @@
     succession,
 )
 from apricottally.addresses import Endpoint
+from apricottally.arrivals import Arrival
 from apricottally.effects import Effect, SendPacket
 from apricottally.errors import WireError
 from apricottally.events import PacketReceived
 from apricottally.explanation import Decision
 from apricottally.gue import Direction, Handover
-from apricottally.outbound import Cause
 from apricottally.packet import Segment
 from apricottally.routes import Route
 from apricottally.shards import Shard
@@ -48,66 +48,54 @@
         segment = packet.parse(datagram, start)
     except WireError as error:
         return drop(state, error.reason)
-    effects = _receive_segment(state, event, segment, handover)
-    cause = Cause(datagram, segment, handover)
-    return outbound.keep_valid(state, effects, cause)
+    arrival = Arrival(event.now, event.source, datagram, segment, handover)
+    effects = _receive_segment(state, arrival)
+    return outbound.keep_valid(state, effects, arrival)
 
 
 def _receive_segment(
     state: NodeState,
-    event: PacketReceived,
-    segment: Segment,
-    handover: Handover | None,
+    arrival: Arrival,
 ) -> list[Effect]:
-    route = state.routes.find(segment.dst_ip, segment.dst_port)
+    route = state.routes.find(arrival.segment.dst_ip, arrival.segment.dst_port)
     if route is not None:
-        return _receive_from_caller(state, event, route, segment, handover)
-    route = state.routes.find(segment.src_ip, segment.src_port)
+        return _receive_from_caller(state, arrival, route)
+    route = state.routes.find(arrival.segment.src_ip, arrival.segment.src_port)
     if route is not None:
-        return _receive_from_backend(state, event, route, segment, handover)
-    return receive_stray(state, event, segment, handover, 'unknown_address')
+        return _receive_from_backend(state, arrival, route)
+    return receive_stray(state, arrival, 'unknown_address')
 
 
 def _receive_from_caller(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
-    segment: Segment,
-    handover: Handover | None,
 ) -> list[Effect]:
-    flags = segment.flags
+    flags = arrival.segment.flags
     if flags & packet.SYN:
-        return _receive_syn(state, event, route, segment, handover)
+        return _receive_syn(state, arrival, route)
     if not flags & (packet.ACK | packet.RST):
         return drop(state, 'foreign_flags')
-    if not segment.ts_ecr:
-        return _receive_unnumbered(state, event, route, segment, handover)
-    number = segment.ts_ecr & packet.NUMBER_MASK
+    if not arrival.segment.ts_ecr:
+        return _receive_unnumbered(state, arrival, route)
+    number = arrival.segment.ts_ecr & packet.NUMBER_MASK
     endpoint = route.service.endpoints.get(number)
     if endpoint is None:
-        return _receive_unroutable(state, event, route, segment, handover)
+        return _receive_unroutable(state, arrival, route)
     if not flags & packet.FIRST_OR_LAST:
-        if _is_suspect(state, endpoint, segment, handover):
-            return _track(state, event, route, segment, handover)
-        return _forward(state, event, endpoint, segment)
-    return closing.close_from_caller(
-        state,
-        event,
-        route,
-        number,
-        segment,
-        handover,
-    )
+        if _is_suspect(state, endpoint, arrival.segment, arrival.handover):
+            return _track(state, arrival, route)
+        return _forward(state, arrival, endpoint)
+    return closing.close_from_caller(state, arrival, route, number)
 
 
 def _forward(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     endpoint: Endpoint,
-    segment: Segment,
 ) -> list[Effect]:
     state.counters.counts['forwarded', 'caller'] += 1
-    inner = packet.clear_number(event.payload, segment)
+    inner = packet.clear_number(arrival.payload, arrival.segment)
     return [SendPacket(endpoint, gue.PLAIN_HEADER + inner)]
 
 
@@ -128,234 +116,196 @@
 
 def _track(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
-    segment: Segment,
-    handover: Handover | None,
 ) -> list[Effect]:
     """Forward a stale packet by way of its tracker; end a silent flow."""
-    key = packet.caller_key(event.payload, segment.start)
+    key = packet.caller_key(arrival.payload, arrival.segment.start)
     tracker = state.owners.find_tracker(key)
-    if handover is None and tracker.name != state.members.own_name:
+    if arrival.handover is None and tracker.name != state.members.own_name:
         state.counters.add('handed_over', 'stale')
-        return [wrap(event, segment, tracker, Direction.caller)]
-    number = segment.ts_ecr & packet.NUMBER_MASK
+        return [wrap(arrival, tracker, Direction.caller)]
+    number = arrival.segment.ts_ecr & packet.NUMBER_MASK
     endpoint = route.service.endpoints[number]
-    if silence.is_silent(state, event.now, key, endpoint[0], segment):
-        return _end_silent(state, event, route, key, segment)
-    return _forward(state, event, endpoint, segment)
+    if silence.is_silent(state, arrival.now, key, endpoint[0], arrival.segment):
+        return _end_silent(state, arrival, route, key)
+    return _forward(state, arrival, endpoint)
 
 
 def _end_silent(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
     key: bytes,
-    segment: Segment,
 ) -> list[Effect]:
     """Reset both ends; the backend's by way of the owner of its shard."""
     state.counters.add('broken', 'silent_flow')
     state.decisions.add(
         Decision(
-            now=event.now,
+            now=arrival.now,
             key=key,
             action='reset',
             rule='silent_flow',
             workspace=route.workspace,
             service=route.service.name,
-            number=segment.ts_ecr & packet.NUMBER_MASK,
+            number=arrival.segment.ts_ecr & packet.NUMBER_MASK,
             version=route.service.version,
         ),
     )
-    answer = packet.reset_sender(segment)
+    answer = packet.reset_sender(arrival.segment)
     effects: list[Effect] = [
         SendPacket(state.config.gateway, gue.encode(answer)),
     ]
-    for inner in silence.build_backend_resets(segment):
+    for inner in silence.build_backend_resets(arrival.segment):
         datagram = gue.encode(inner)
-        made = PacketReceived(event.now, event.source, datagram)
-        reset = packet.parse(datagram, gue.PLAIN_LENGTH)
-        effects += _receive_from_caller(state, made, route, reset, None)
+        segment = packet.parse(datagram, gue.PLAIN_LENGTH)
+        made = Arrival(arrival.now, arrival.source, datagram, segment, None)
+        effects += _receive_from_caller(state, made, route)
     return effects
 
 
 def _receive_unnumbered(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
-    segment: Segment,
-    handover: Handover | None,
 ) -> list[Effect]:
     """Handle a caller's packet that carries no number.
 
     Kernels answer packets for a closed socket by a reset without timestamps.
     Only the owner may know the flow, which its key leads to as for a SYN.
     """
-    if not segment.flags & packet.RST:
+    if not arrival.segment.flags & packet.RST:
         return drop(state, 'no_number')
-    key = packet.caller_key(event.payload, segment.start)
+    key = packet.caller_key(arrival.payload, arrival.segment.start)
     service = route.service
     reachable = state.owners.list_reachable(service.name, service.shards)
     shard = shards.choose_shard(reachable, key)
     if shard is None:
         return drop(state, 'reset_without_number')
-    if _is_for_owner(state, shard, handover):
-        return _hand_over(
-            state,
-            event,
-            shard,
-            segment,
-            Direction.caller,
-            handover,
-        )
+    if _is_for_owner(state, shard, arrival.handover):
+        return _hand_over(state, arrival, shard, Direction.caller)
     return endings.receive_bare_reset(
         state,
-        event.now,
+        arrival.now,
         key,
-        segment,
-        event.payload,
+        arrival.segment,
+        arrival.payload,
     )
 
 
 def _receive_syn(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
-    segment: Segment,
-    handover: Handover | None,
 ) -> list[Effect]:
-    if segment.flags & (packet.ACK | packet.FIN | packet.RST):
+    if arrival.segment.flags & (packet.ACK | packet.FIN | packet.RST):
         return drop(state, 'foreign_flags')
-    if not segment.timestamps:
-        return admission.refuse(state, segment, 'no_timestamps')
-    key = packet.caller_key(event.payload, segment.start)
+    if not arrival.segment.timestamps:
+        return admission.refuse(state, arrival.segment, 'no_timestamps')
+    key = packet.caller_key(arrival.payload, arrival.segment.start)
     service = route.service
     reachable = state.owners.list_reachable(service.name, service.shards)
     shard = shards.choose_shard(reachable, key)
     if shard is None:
-        return admission.refuse(state, segment, 'no_backend')
-    if _is_for_owner(state, shard, handover):
+        return admission.refuse(state, arrival.segment, 'no_backend')
+    if _is_for_owner(state, shard, arrival.handover):
         # A node that has no time for a SYN refuses it before the hop.
-        refusal = admission.screen_syn(state, event.now, route, segment, key)
-        return refusal or _hand_over(
-            state,
-            event,
-            shard,
-            segment,
-            Direction.caller,
-            handover,
+        refusal = admission.screen_syn(
+            state, arrival.now, route, arrival.segment, key
         )
+        return refusal or _hand_over(state, arrival, shard, Direction.caller)
     return admission.receive_syn(
         state,
-        event.now,
+        arrival.now,
         route,
         shard,
-        segment,
-        event.payload,
+        arrival.segment,
+        arrival.payload,
     )
 
 
 def _receive_unroutable(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
-    segment: Segment,
-    handover: Handover | None,
 ) -> list[Effect]:
     """Handle a packet whose number names no present backend."""
-    known = route.service.backends.get(segment.ts_ecr & packet.NUMBER_MASK)
+    known = route.service.backends.get(
+        arrival.segment.ts_ecr & packet.NUMBER_MASK
+    )
     if known is None:
-        return receive_stray(state, event, segment, handover, 'unknown_number')
-    if segment.flags & packet.RST:
+        return receive_stray(state, arrival, 'unknown_number')
+    if arrival.segment.flags & packet.RST:
         return drop(state, 'backend_gone')
     state.counters.add('broken', 'outcome_unknown')
-    answer = packet.reset_sender(segment)
+    answer = packet.reset_sender(arrival.segment)
     return [SendPacket(state.config.gateway, gue.encode(answer))]
 
 
 def _receive_from_backend(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
-    segment: Segment,
-    handover: Handover | None,
 ) -> list[Effect]:
-    if handover is None:
-        source = event.source[0]
+    if arrival.handover is None:
+        source = arrival.source[0]
     else:
-        source = addresses.format_ip(handover.ip)
+        source = addresses.format_ip(arrival.handover.ip)
     service = route.service
     number = service.numbers_by_source.get(source)
     if number is None:
-        return _receive_foreign(state, event, source, segment, handover)
-    flags = segment.flags
-    if segment.timestamps and source in state.clocks.wanted:
-        state.clocks.learn(source, segment.ts_val, event.now)
+        return _receive_foreign(state, arrival, source)
+    flags = arrival.segment.flags
+    if arrival.segment.timestamps and source in state.clocks.wanted:
+        state.clocks.learn(source, arrival.segment.ts_val, arrival.now)
     if not flags & packet.FIRST_OR_LAST:
-        if not segment.timestamps:
+        if not arrival.segment.timestamps:
             return drop(state, 'no_timestamps')
         state.counters.counts['forwarded', 'backend'] += 1
-        inner = packet.write_number(event.payload, segment, number)
+        inner = packet.write_number(arrival.payload, arrival.segment, number)
         return [SendPacket(state.config.gateway, gue.PLAIN_HEADER + inner)]
-    is_first = flags & packet.SYN or closing.answers_syn(segment)
+    is_first = flags & packet.SYN or closing.answers_syn(arrival.segment)
     if not is_first:
-        return closing.close_from_backend(
-            state,
-            event,
-            route,
-            number,
-            segment,
-            handover,
-        )
+        return closing.close_from_backend(state, arrival, route, number)
     shard = service.shard_of[number]
-    if _is_for_owner(state, shard, handover):
-        return _hand_over(
-            state,
-            event,
-            shard,
-            segment,
-            Direction.backend,
-            handover,
-        )
-    return _receive_answer(state, event, route, number, segment)
+    if _is_for_owner(state, shard, arrival.handover):
+        return _hand_over(state, arrival, shard, Direction.backend)
+    return _receive_answer(state, arrival, route, number)
 
 
 def _receive_answer(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     route: Route,
     number: int,
-    segment: Segment,
 ) -> list[Effect]:
     """Handle a backend's answer to a SYN at the owner of its shard."""
-    if segment.flags & packet.SYN:
+    if arrival.segment.flags & packet.SYN:
         others = packet.ACK | packet.FIN | packet.RST
-        if segment.flags & others != packet.ACK:
+        if arrival.segment.flags & others != packet.ACK:
             return drop(state, 'foreign_flags')
         receive = admission.receive_syn_ack
     else:
         receive = admission.receive_refusal
     return receive(
         state,
-        event.now,
+        arrival.now,
         route,
         number,
-        segment,
-        event.payload,
+        arrival.segment,
+        arrival.payload,
     )
 
 
 def _receive_foreign(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     source: str,
-    segment: Segment,
-    handover: Handover | None,
 ) -> list[Effect]:
     """Handle a reply from an address that is no backend of the service."""
     if source in state.routes.service_of_ip:
         return drop(state, 'foreign_reply')
-    return receive_stray(state, event, segment, handover, 'foreign_reply')
+    return receive_stray(state, arrival, 'foreign_reply')
 
 
 def _is_for_owner(
@@ -373,12 +323,10 @@
 
 def _hand_over(
     state: NodeState,
-    event: PacketReceived,
+    arrival: Arrival,
     shard: Shard,
-    segment: Segment,
     direction: Direction,
-    former: Handover | None,
 ) -> list[Effect]:
     owner = state.owners.find(shard.name, shard.zone)
     state.counters.add('handed_over', direction.name)
-    return [wrap(event, segment, owner, direction, former)]
+    return [wrap(arrival, owner, direction)]
--- a/apricottally/outbound.py
+++ b/apricottally/outbound.py
@@ -8,9 +8,8 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from apricottally import gue, packet
+from apricottally.arrivals import Arrival
 from apricottally.effects import Effect, SendPacket
 from apricottally.errors import WireError
 from apricottally.gue import Handover
@@ -22,18 +21,10 @@
 _REFUSAL = packet.RST | packet.ACK
 
 
-class Cause(msgspec.Struct, frozen=True, gc=False):
-    """The received packet that led to the effects."""
-
-    datagram: bytes
-    segment: Segment
-    handover: Handover | None
-
-
 def keep_valid(
     state: NodeState,
     effects: list[Effect],
-    cause: Cause | None = None,
+    cause: Arrival | None = None,
 ) -> list[Effect]:
     """Return the effects without packets that break an invariant."""
     return [
@@ -46,7 +37,7 @@
 def _is_valid(
     state: NodeState,
     effect: SendPacket,
-    cause: Cause | None,
+    cause: Arrival | None,
 ) -> bool:
     try:
         segment, handover = _parse(effect.payload)
@@ -74,12 +65,12 @@
 def _is_again(
     datagram: bytes,
     handover: Handover,
-    cause: Cause | None,
+    cause: Arrival | None,
 ) -> bool:
     """Tell whether a packet is handed over beyond the limit of hops."""
     if cause is None or cause.handover is None:
         return handover.hops > gue.LAST_HOP
-    inner = cause.datagram[cause.segment.start :]
+    inner = cause.payload[cause.segment.start :]
     if datagram[gue.HANDOVER_LENGTH :] != inner:
         return False
     is_next = handover.hops == cause.handover.hops + 1
@@ -89,7 +80,7 @@
 def _is_valid_reply(
     state: NodeState,
     segment: Segment,
-    cause: Cause | None,
+    cause: Arrival | None,
 ) -> bool:
     check = state.invariants.check
     route = state.routes.find(segment.src_ip, segment.src_port)
@@ -104,7 +95,7 @@
     )
 
 
-def _is_refusal_of_data(segment: Segment, cause: Cause | None) -> bool:
+def _is_refusal_of_data(segment: Segment, cause: Arrival | None) -> bool:
     """Tell whether a refusal answers a caller's packet that is no SYN."""
     if segment.flags != _REFUSAL or segment.seq or cause is None:
         return False
@@ -118,7 +109,7 @@
     state: NodeState,
     effect: SendPacket,
     segment: Segment,
-    cause: Cause | None,
+    cause: Arrival | None,
 ) -> bool:
     check = state.invariants.check
     route = state.routes.find(segment.dst_ip, segment.dst_port)
--- a/apricottally/strays.py
+++ b/apricottally/strays.py
@@ -18,8 +18,8 @@
 import xxhash
 
 from apricottally import addresses, gue, packet
+from apricottally.arrivals import Arrival
 from apricottally.effects import Effect, SendPacket
-from apricottally.events import PacketReceived
 from apricottally.gue import Direction, Handover
 from apricottally.members import Member
 from apricottally.packet import Segment
@@ -52,9 +52,7 @@
 
 def receive_stray(
     state: NodeState,
-    event: PacketReceived,
-    segment: Segment,
-    handover: Handover | None,
+    arrival: Arrival,
     reason: str,
 ) -> list[Effect]:
     """Hand a packet over to another member, or drop it for `reason`.
@@ -63,35 +61,32 @@
     member would admit it as if it owned the shard, and the SYN-ACK would go
     to the true owner, which knows nothing of it.
     """
-    if handover is not None or segment.flags & packet.SYN:
+    if arrival.handover is not None or arrival.segment.flags & packet.SYN:
         return drop(state, reason)
-    member = _choose_member(state, event.payload, segment)
+    member = _choose_member(state, arrival.payload, arrival.segment)
     if member is None:
         return drop(state, reason)
-    if not state.strays.take(event.now):
+    if not state.strays.take(arrival.now):
         return drop(state, f'{reason}_budget')
     state.counters.add('handed_over', reason)
-    return [wrap(event, segment, member, Direction.unknown)]
+    return [wrap(arrival, member, Direction.unknown)]
 
 
 def wrap(
-    event: PacketReceived,
-    segment: Segment,
+    arrival: Arrival,
     member: Member,
     direction: Direction,
-    former: Handover | None = None,
 ) -> Effect:
-    """Return the effect that hands the packet over to a member.
-
-    `former` is the extension that the packet came with, if any.
-    """
-    if former is None:
-        ip, port = event.source
-        handover = Handover(direction, 1, port, addresses.parse_ip(ip))
+    """Return the effect that hands the packet over to a member."""
+    handover = arrival.handover
+    if handover is None:
+        ip, port = arrival.source
+        extension = Handover(direction, 1, port, addresses.parse_ip(ip))
     else:
-        handover = msgspec.structs.replace(former, hops=former.hops + 1)
-    inner = event.payload[segment.start :]
-    return SendPacket(member.packet, gue.encode_handover(handover, inner))
+        hops = handover.hops + 1
+        extension = msgspec.structs.replace(handover, hops=hops)
+    inner = arrival.payload[arrival.segment.start :]
+    return SendPacket(member.packet, gue.encode_handover(extension, inner))
 
 
 def drop(state: NodeState, reason: str) -> list[Effect]:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 
 from apricottally import fastpath, forwarding, gue, outbound, packet
+from apricottally.arrivals import Arrival
 from apricottally.effects import Effect, SendPacket
 from apricottally.errors import InvariantError
 from apricottally.events import PacketReceived
@@ -360,7 +361,7 @@
     node = build_node()
     handover = Handover(Direction.caller, 1, 1, 1)
     segment = packet.parse(arrived, 0)
-    cause = outbound.Cause(arrived, segment, handover)
+    cause = Arrival(0, fleet.FABRIC, arrived, segment, handover)
     with pytest.raises(InvariantError, match=name):
         outbound.keep_valid(node, effects, cause)
     node.invariants.strict = False
