Measure the memory of an idle daemon

Cause: the memory budget had no row. Change: bench memory starts the daemon and, beside it, its libraries alone.

--- a/apricottally/succession.py
+++ b/apricottally/succession.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from apricottally import gue, messages, occupancy
+from apricottally.addresses import Endpoint
 from apricottally.admitted import Occupancy
 from apricottally.effects import Effect, SendPacket, SendPeer
 from apricottally.flows import OwnedShard, Phase
@@ -58,7 +59,7 @@
 def receive_report(
     state: NodeState,
     now: float,
-    source: object,
+    source: Endpoint,
     message: OccupancyReport,
 ) -> list[Effect]:
     """Take over what a former owner had admitted."""
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,7 +8,7 @@
 from bench.rows import Row
 
 # Modules with a function `measure(seed) -> list[Row]`, in table order.
-MODULES: tuple[str, ...] = ('packets', 'flows', 'flood', 'control')
+MODULES: tuple[str, ...] = ('packets', 'flows', 'flood', 'control', 'memory')
 
 PAGE = Path('docs/BENCH.md')
 HEADER = """# Measurements
