Let the demonstration fail on failed handlers

Cause: a handler that raises is counted and logged, but the demonstration did not look at the counter. Change: failed handlers are a forbidden figure of its table. Conclusion: a fault that production survives still shows here.

--- a/demo/audit.py
+++ b/demo/audit.py
@@ -41,6 +41,8 @@
     )
     invariants = seen.scraper.total(metrics.INVARIANT_METRIC)
     tally['broken invariants'] = invariants.total()
+    failed = seen.scraper.total(metrics.FAILURE_METRIC)
+    tally['failed handlers'] = failed.total()
     figures = {name: str(tally[name]) for name in _SHOWN}
     figures['refused by reason'] = format_reasons(
         seen.scraper.total(metrics.REFUSED_METRIC),
@@ -72,6 +74,7 @@
     'damaged packets',
     'new work after the drain',
     'broken invariants',
+    'failed handlers',
 )
 _SHOWN = (
     'opened',
--- a/demo/metrics.py
+++ b/demo/metrics.py
@@ -17,6 +17,7 @@
 REFUSED_METRIC = 'apricottally_refused_total'
 RETRIED_METRIC = 'apricottally_retried_total'
 INVARIANT_METRIC = 'apricottally_invariant_broken_total'
+FAILURE_METRIC = 'apricottally_handler_failed_total'
 
 POLL_S = 0.1
 SCRAPE_S = 0.5
