--- a/apricottally/closing.py
+++ b/apricottally/closing.py
@@ -17,7 +17,7 @@
 from apricottally.gue import Direction, Handover
 from apricottally.packet import Segment
 from apricottally.routes import Route
-from apricottally.strays import wrap
+from apricottally.unknown import wrap
 
 if TYPE_CHECKING:
     from apricottally.state import NodeState
--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -31,7 +31,7 @@
 from apricottally.packet import Segment
 from apricottally.routes import Route
 from apricottally.shards import Shard
-from apricottally.strays import drop, receive_stray, wrap
+from apricottally.unknown import drop, receive_unknown, wrap
 
 if TYPE_CHECKING:
     from apricottally.state import NodeState
@@ -63,7 +63,7 @@
     route = state.routes.find(arrival.segment.src_ip, arrival.segment.src_port)
     if route is not None:
         return _receive_from_backend(state, arrival, route)
-    return receive_stray(state, arrival, 'unknown_address')
+    return receive_unknown(state, arrival, 'unknown_address')
 
 
 def _receive_from_caller(
@@ -234,7 +234,7 @@
         arrival.segment.ts_ecr & packet.NUMBER_MASK
     )
     if known is None:
-        return receive_stray(state, arrival, 'unknown_number')
+        return receive_unknown(state, arrival, 'unknown_number')
     if arrival.segment.flags & packet.RST:
         return drop(state, 'backend_gone')
     state.counters.add('broken', 'outcome_unknown')
@@ -305,7 +305,7 @@
     """Handle a reply from an address that is no backend of the service."""
     if source in state.routes.service_of_ip:
         return drop(state, 'foreign_reply')
-    return receive_stray(state, arrival, 'foreign_reply')
+    return receive_unknown(state, arrival, 'foreign_reply')
 
 
 def _is_for_owner(
--- a/apricottally/membership.py
+++ b/apricottally/membership.py
@@ -97,7 +97,7 @@
         message.seq,
         state.members.own,
         build_view(state),
-        told + _take_rumours(state),
+        told + _take_updates(state),
     )
     effects.append(SendPeer(source, messages.encode(answer)))
     return effects
@@ -189,7 +189,7 @@
     swim.sequence = state.rng.getrandbits(32)
     swim.next_ping = now + PING_PERIOD_S * state.rng.random()
     swim.next_contact = now
-    swim.rumours.add(state.members.own)
+    swim.updates.add(state.members.own)
 
 
 def _resume(state: NodeState, now: float, gap: float) -> None:
@@ -386,7 +386,7 @@
         swim.sequence,
         state.members.own,
         build_view(state),
-        told + _take_rumours(state),
+        told + _take_updates(state),
     )
     return SendPeer(endpoint, messages.encode(message))
 
@@ -394,12 +394,12 @@
 def _gossip(state: NodeState, now: float) -> list[Effect]:
     """Send new changes at once, as far as the budget goes."""
     swim = state.control.swim
-    if not swim.rumours.fresh:
+    if not swim.updates.fresh:
         return []
     cost = messages.MAX_DATAGRAM_BYTES // 2 * GOSSIP_PEERS
     if not swim.gossip_budget.take(now, cost):
         return []
-    payload = messages.encode(Gossip(swim.rumours.take_fresh()))
+    payload = messages.encode(Gossip(swim.updates.take_fresh()))
     return [
         SendPeer(member.peer, payload)
         for member in peers.choose(
@@ -410,6 +410,6 @@
     ]
 
 
-def _take_rumours(state: NodeState) -> tuple[Member, ...]:
+def _take_updates(state: NodeState) -> tuple[Member, ...]:
     swim = state.control.swim
-    return swim.rumours.take(len(state.members.members))
+    return swim.updates.take(len(state.members.members))
--- a/apricottally/state.py
+++ b/apricottally/state.py
@@ -15,7 +15,7 @@
 from apricottally.shards import Owners
 from apricottally.shutdown import Shutdown
 from apricottally.silence import Clocks, Suspects
-from apricottally.strays import Budget
+from apricottally.unknown import Budget
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +63,7 @@
         self.decisions = Decisions()
         self.clocks = Clocks()
         self.suspects = Suspects()
-        self.strays = Budget()
+        self.unknown_budget = Budget()
         self.shutdown = Shutdown()
 
     @property
--- a/apricottally/swim.py
+++ b/apricottally/swim.py
@@ -17,7 +17,7 @@
 from apricottally.effects import Effect, WriteLog
 from apricottally.members import Member, MemberState
 from apricottally.peers import Peers
-from apricottally.rumours import Rumours
+from apricottally.updates import PendingUpdates
 
 if TYPE_CHECKING:
     from apricottally.state import NodeState
@@ -75,7 +75,7 @@
     probes: dict[int, Probe] = field(default_factory=dict)
     suspects: dict[str, Suspicion] = field(default_factory=dict)
     dead: dict[str, float] = field(default_factory=dict)
-    rumours: Rumours = field(default_factory=Rumours)
+    updates: PendingUpdates = field(default_factory=PendingUpdates)
     peers: Peers = field(default_factory=Peers)
     silent: dict[str, int] = field(default_factory=dict)
     heard: dict[str, float] = field(default_factory=dict)
@@ -151,7 +151,7 @@
     swim.digest ^= fingerprint(held) ^ fingerprint(member)
     state.members.put(member)
     if spread:
-        swim.rumours.add(member)
+        swim.updates.add(member)
 
 
 def rank(member: Member) -> tuple[int, MemberState]:
--- a/apricottally/strays.py
+++ b/apricottally/unknown.py
@@ -50,7 +50,7 @@
         return True
 
 
-def receive_stray(
+def receive_unknown(
     state: NodeState,
     arrival: Arrival,
     reason: str,
@@ -66,7 +66,7 @@
     member = _choose_member(state, arrival.payload, arrival.segment)
     if member is None:
         return drop(state, reason)
-    if not state.strays.take(arrival.now):
+    if not state.unknown_budget.take(arrival.now):
         return drop(state, f'{reason}_budget')
     state.counters.add('handed_over', reason)
     return [wrap(arrival, member, Direction.unknown)]
--- a/apricottally/rumours.py
+++ b/apricottally/updates.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(slots=True)
-class Rumour:
+class PendingUpdate:
     """A change of a member and how often this node has sent it."""
 
     member: Member
@@ -20,15 +20,15 @@
 
 
 @dataclass(slots=True)
-class Rumours:
+class PendingUpdates:
     """The newest change of each member, until it was sent often enough."""
 
-    queue: dict[str, Rumour] = field(default_factory=dict)
+    queue: dict[str, PendingUpdate] = field(default_factory=dict)
     fresh: dict[str, Member] = field(default_factory=dict)
 
     def add(self, member: Member) -> None:
         """Queue a change; an older one of the same member is dropped."""
-        self.queue[member.name] = Rumour(member)
+        self.queue[member.name] = PendingUpdate(member)
         self.fresh[member.name] = member
 
     def take_fresh(self) -> tuple[Member, ...]:
@@ -42,12 +42,12 @@
             return ()
         limit = math.ceil(SENDS_PER_DECADE * math.log10(nodes + 1))
         chosen = sorted(self.queue.values(), key=_sends)[:UPDATES_PER_MESSAGE]
-        for rumour in chosen:
-            rumour.sent += 1
-            if rumour.sent >= limit:
-                self.queue.pop(rumour.member.name)
-        return tuple(rumour.member for rumour in chosen)
+        for update in chosen:
+            update.sent += 1
+            if update.sent >= limit:
+                self.queue.pop(update.member.name)
+        return tuple(update.member for update in chosen)
 
 
-def _sends(rumour: Rumour) -> int:
-    return rumour.sent
+def _sends(update: PendingUpdate) -> int:
+    return update.sent
--- a/bench/controldata.py
+++ b/bench/controldata.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from apricottally import model, swim
-from apricottally.rumours import Rumours
+from apricottally.updates import PendingUpdates
 from standins.mesh import Mesh
 
 
@@ -54,4 +54,4 @@
     for state in states:
         swim.learn(state, mesh.timeline.now, members, spread=False)
         state.control.memberlist.joined = True
-        state.control.swim.rumours = Rumours()
+        state.control.swim.updates = PendingUpdates()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -191,7 +191,7 @@
         (fleet.build_reply(), NEW_SOURCE, 'foreign_reply'),
     ],
 )
-def test_stray_is_handed_over_once(inner, source, reason: str) -> None:
+def test_unknown_packet_is_handed_over_once(inner, source, reason: str) -> None:
     """Guards against losing a flow that only newer records know."""
     node = build_node()
     dest, datagram = fleet.sent_packet(reduce(node, plain(inner, source)))
@@ -206,7 +206,7 @@
     assert other.counters.total('dropped', reason) == 1
 
 
-def test_strays_have_a_budget() -> None:
+def test_unknown_packets_have_a_budget() -> None:
     """Guards against a flood of unknown packets doubled by hand-overs."""
     node = build_node()
     event = plain(fleet.build_request(number=UNKNOWN))
@@ -215,8 +215,8 @@
     assert node.counters.total('dropped', 'unknown_number_budget') == 3000
 
 
-def test_retransmission_of_a_stray_tries_another_member() -> None:
-    """Guards against a stray that always reaches the same outdated node."""
+def test_retransmission_of_an_unknown_packet_tries_another_member() -> None:
+    """Guards against a packet that always reaches the same outdated node."""
     node = build_node()
     dests = {
         dest
