--- a/apricottally/members.py
+++ b/apricottally/members.py
@@ -38,7 +38,6 @@
         return self.ip, self.peer_port
 
 
-_ALIVE = frozenset((MemberState.alive,))
 _ELIGIBLE = frozenset((MemberState.alive, MemberState.suspect))
 
 
@@ -46,17 +45,26 @@
     """Members by name, and those in use by zone.
 
     Eligible members are alive or suspect: they get messages. Owners are
-    chosen from those alive only, since a suspect that is dead would swallow
-    every new flow until the suspicion lapses. `version` grows whenever one
-    of these sets changes, so that choices made from it can be kept until
-    then.
+    chosen from those that are not `doubted`, which a member is once it has
+    been suspect for some time: a suspect that is dead would swallow every new
+    flow until the suspicion lapses, but most suspects refute at once.
+    `version` grows whenever one of these sets changes, so that choices made
+    from it can be kept until then.
     """
 
-    __slots__ = ('_alive', '_eligible', 'members', 'own_name', 'version')
+    __slots__ = (
+        '_alive',
+        '_eligible',
+        'doubted',
+        'members',
+        'own_name',
+        'version',
+    )
 
     def __init__(self, own: Member) -> None:
         self.own_name = own.name
         self.members: dict[str, Member] = {own.name: own}
+        self.doubted: set[str] = set()
         self.version = 1
         self._alive: dict[str, tuple[Member, ...]] = {}
         self._eligible: dict[str, tuple[Member, ...]] = {}
@@ -70,36 +78,46 @@
         """Store a member; the caller has decided that it overrides."""
         held = self.members.get(member.name)
         self.members[member.name] = member
-        if held is None or _rank(held) != _rank(member):
+        was_doubted = member.name in self.doubted
+        if member.state is not MemberState.suspect:
+            self.doubted.discard(member.name)
+        if was_doubted or held is None or _rank(held) != _rank(member):
+            self._invalidate()
+
+    def doubt(self, name: str) -> None:
+        """Choose a suspect as owner no more, until it refutes."""
+        if name not in self.doubted:
+            self.doubted.add(name)
             self._invalidate()
 
     def remove(self, name: str) -> None:
         """Forget a member."""
+        self.doubted.discard(name)
         if self.members.pop(name, None) is not None:
             self._invalidate()
 
     def eligible(self, zone: str = '') -> tuple[Member, ...]:
         """Return the members of a zone (all zones if empty) to talk to."""
-        return self._list(self._eligible, _ELIGIBLE, zone)
+        listed = self._eligible.get(zone)
+        if listed is None:
+            listed = tuple(
+                member
+                for member in self.members.values()
+                if member.state in _ELIGIBLE and zone in {'', member.zone}
+            )
+            self._eligible[zone] = listed
+        return listed
 
     def alive(self, zone: str = '') -> tuple[Member, ...]:
         """Return the members of a zone (all zones if empty) that may own."""
-        return self._list(self._alive, _ALIVE, zone)
-
-    def _list(
-        self,
-        cache: dict[str, tuple[Member, ...]],
-        states: frozenset[MemberState],
-        zone: str,
-    ) -> tuple[Member, ...]:
-        listed = cache.get(zone)
+        listed = self._alive.get(zone)
         if listed is None:
             listed = tuple(
                 member
-                for member in self.members.values()
-                if member.state in states and zone in {'', member.zone}
+                for member in self.eligible(zone)
+                if member.name not in self.doubted
             )
-            cache[zone] = listed
+            self._alive[zone] = listed
         return listed
 
     def _invalidate(self) -> None:
@@ -108,8 +126,7 @@
         self._eligible.clear()
 
 
-def _rank(member: Member) -> tuple[bool, bool, str, Endpoint, Endpoint]:
+def _rank(member: Member) -> tuple[bool, str, Endpoint, Endpoint]:
     """Return what decides whether choices made from the table still hold."""
-    alive = member.state in _ALIVE
     eligible = member.state in _ELIGIBLE
-    return alive, eligible, member.zone, member.packet, member.peer
+    return eligible, member.zone, member.packet, member.peer
--- a/apricottally/membership.py
+++ b/apricottally/membership.py
@@ -22,6 +22,7 @@
 from apricottally.messages import Ack, Gossip, Ping, PingRequest, View
 from apricottally.swim import (
     RECHECK_S,
+    SUSPICION_S,
     Probe,
     learn,
     put,
@@ -45,6 +46,9 @@
 JOIN_PERIOD_S = 0.5
 # A gap between ticks that shows that this process did not run.
 PAUSE_S = 1.0
+# A suspect owns its shards for so long: a longer time delays new flows after a
+# kill, a shorter one moves owners for each lost datagram.
+OWNER_GRACE_S = 0.5
 GOSSIP_PEERS = 3
 # Probes of another zone in a row that fail before all of it is suspected.
 ZONE_FAILURES = 6
@@ -289,6 +293,9 @@
     """Declare lapsed suspects dead and forget nodes that died long ago."""
     swim = state.control.swim
     effects: list[Effect] = []
+    for name, suspicion in swim.suspects.items():
+        if suspicion.deadline - SUSPICION_S + OWNER_GRACE_S <= now:
+            state.members.doubt(name)
     lapsed = [
         name
         for name, suspicion in swim.suspects.items()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -310,3 +310,22 @@
     """Guards against datagrams that networks split or drop."""
     with pytest.raises(WireError):
         messages.encode(messages.FetchQuery(('k' * 1200,)))
+
+
+def test_suspect_owns_for_a_short_time_only() -> None:
+    """Guards against owners that move for each lost datagram, or too late."""
+    mesh = run_joined(3, {'a': 4}, Faults())
+    name = 'node-a-0002'
+    mesh.kill(name)
+    state = mesh.nodes['node-a-0000'].state
+
+    def owns() -> bool:
+        return name in {member.name for member in state.members.alive()}
+
+    mesh.run_until(lambda: name in state.control.swim.suspects, 6)
+    assert owns()
+    mesh.run(membership.OWNER_GRACE_S + 0.2)
+    assert not owns()
+    assert name in {member.name for member in state.members.eligible()}
+    mesh.start(name)
+    assert mesh.run_until(owns, 6) <= 6
