Make one piece of code serve the refusal, the shard choice and the owner test

Cause: a read of the whole change. The reset that answers a SYN was built and wrapped in four places, the shard of a new flow chosen in three, and the test whether a packet goes on to the owner stood in forwarding and in closing. retry and withdraw returned lists that have been empty since early resets went away. Change: attempts.answer_refusal, Owners.choose_shard and succession.is_for_owner; retry tells whether it is allowed, withdraw returns nothing; packet.reset_receiver and an unused offset are gone, the model builds the broken rule's reset itself. Behaviour stays.

--- a/apricottally/admission.py
+++ b/apricottally/admission.py
@@ -52,8 +52,7 @@
         return []
     if attempt in admissions.refused:
         state.counters.add('refused_again', 'repeated_syn')
-        answer = packet.refuse_syn(segment)
-        return [SendPacket(state.config.gateway, gue.encode(answer))]
+        return [attempts.answer_refusal(state, segment)]
     refusal = screen_syn(state, now, route, segment, key)
     if refusal:
         return refusal
@@ -107,7 +106,7 @@
         state.admissions.foreign.add(name_attempt(key, segment.ack), now)
         effects = _pass_to_caller(state, number, segment, datagram)
         if flow is not None and flow.answers(segment):
-            effects += attempts.withdraw(state, now, flow)
+            attempts.withdraw(state, now, flow)
         return effects
     is_current = flow.number == number and flow.answers(segment)
     if not is_current or flow.phase is Phase.over:
@@ -143,8 +142,8 @@
         return []
     note_shed(flow.load, now)
     outliers.note_answer(flow.load)
-    effects = attempts.retry(state, now, flow, 'shed')
-    if effects is None:
+    effects: list[Effect] = []
+    if not attempts.retry(state, now, flow, 'shed'):
         attempts.give_up(flow)
         effects = attempts.refuse_flow(state, now, flow, 'backend_refused')
     return effects + attempts.place_waiting(state, now, flow.owned)
@@ -192,8 +191,7 @@
 def refuse(state: NodeState, segment: Segment, reason: str) -> list[Effect]:
     """Answer a SYN with a reset: the work has not run."""
     state.counters.add('refused', reason)
-    answer = packet.refuse_syn(segment)
-    return [SendPacket(state.config.gateway, gue.encode(answer))]
+    return [attempts.answer_refusal(state, segment)]
 
 
 def _is_replaced(known: Flow, segment: Segment) -> bool:
@@ -257,8 +255,7 @@
     """Handle a retransmitted SYN: what was decided stands."""
     if flow.refusal and not flow.passed:
         state.counters.add('refused_again', flow.refusal)
-        answer = packet.refuse_syn(segment)
-        return [SendPacket(state.config.gateway, gue.encode(answer))]
+        return [attempts.answer_refusal(state, segment)]
     if flow.segment.seq != segment.seq:
         # The caller gave its former attempt up and uses the port again.
         syn, fields = _strip_syn(segment, datagram)
--- a/apricottally/attempts.py
+++ b/apricottally/attempts.py
@@ -12,6 +12,7 @@
 from apricottally.fairqueue import FairQueue
 from apricottally.flows import LINGER_S, Flow, OwnedShard, Phase, name_attempt
 from apricottally.model import Holding
+from apricottally.packet import Segment
 from apricottally.routes import Route
 
 if TYPE_CHECKING:
@@ -46,6 +47,12 @@
     _note(state, now, route, key, 'refuse', reason, NO_NUMBER)
 
 
+def answer_refusal(state: NodeState, segment: Segment) -> Effect:
+    """Return the reset that answers a SYN: the work has not run."""
+    answer = packet.refuse_syn(segment)
+    return SendPacket(state.config.gateway, gue.encode(answer))
+
+
 def find_early_refusal(owned: OwnedShard, flow: Flow, now: float) -> str:
     """Return why a new flow cannot start in time, empty if it may.
 
@@ -94,8 +101,8 @@
     now: float,
     flow: Flow,
     reason: str,
-) -> list[Effect] | None:
-    """Give the flow's backend up for another; None if that is not allowed.
+) -> bool:
+    """Give the flow's backend up for another; tell whether that is allowed.
 
     The backend given up is reset only when its SYN-ACK comes late. An earlier
     reset may hit a flow that another owner has established there meanwhile.
@@ -111,7 +118,7 @@
         obstacle = 'budget'
     if obstacle:
         state.counters.add('retry_refused', obstacle)
-        return None
+        return False
     give_up(flow)
     flow.retry_reason = reason
     flow.phase = Phase.retrying
@@ -119,7 +126,7 @@
         start = flow.deadline
         flow.owned.retrying.append(flow)
     state.admissions.timers.set(flow, start)
-    return []
+    return True
 
 
 def wake(state: NodeState, now: float, flow: Flow) -> list[Effect]:
@@ -172,8 +179,7 @@
         _forget(state, flow)
         attempt = name_attempt(flow.key, flow.segment.seq + 1)
         state.admissions.refused.add(attempt, now)
-    answer = packet.refuse_syn(flow.segment)
-    return [SendPacket(state.config.gateway, gue.encode(answer))]
+    return [answer_refusal(state, flow.segment)]
 
 
 def establish(state: NodeState, now: float, flow: Flow) -> None:
@@ -191,20 +197,19 @@
         balance.note_accepted(flow.load, now)
 
 
-def withdraw(state: NodeState, now: float, flow: Flow) -> list[Effect]:
+def withdraw(state: NodeState, now: float, flow: Flow) -> None:
     """End this owner's part in a flow that another owner has admitted.
 
     Its caller was sent the other backend's SYN-ACK, so it is not refused.
     """
     if flow.passed:
-        return []
+        return
     give_up(flow)
     if flow in flow.owned.retrying:
         flow.owned.retrying.remove(flow)
     flow.passed = True
     decide(state, now, flow, 'withdraw', 'foreign_syn_ack')
     finish(state, now, flow)
-    return []
 
 
 def finish(state: NodeState, now: float, flow: Flow) -> None:
@@ -311,9 +316,8 @@
     if now < flow.sent_at + ANSWER_LIMIT_S and now < flow.deadline:
         if flow.load is not None:
             outliers.note_miss(state, flow.load, now)
-        effects = retry(state, now, flow, 'no_answer')
-        if effects is not None:
-            return effects
+        if retry(state, now, flow, 'no_answer'):
+            return []
     last = max(flow.deadline, flow.sent_at + ANSWER_LIMIT_S)
     if now < last:
         state.admissions.timers.set(flow, last)
--- a/apricottally/closing.py
+++ b/apricottally/closing.py
@@ -83,11 +83,8 @@
     direction: Direction,
 ) -> list[Effect]:
     shard = route.service.shard_of[number]
-    owner = state.owners.find(shard.name, shard.zone)
-    is_own = owner.name == state.members.own_name
-    handover = arrival.handover
-    passes_on = handover is None or succession.passes_on(state, shard, handover)
-    if passes_on and not is_own:
+    if succession.is_for_owner(state, shard, arrival.handover):
+        owner = state.owners.find(shard.name, shard.zone)
         state.counters.add('handed_over', direction.name)
         headers = packet.strip_payload(arrival.payload, arrival.segment)
         notice = msgspec.structs.replace(
--- a/apricottally/driver.py
+++ b/apricottally/driver.py
@@ -42,5 +42,5 @@
     def _report(self, event: Event) -> list[Effect]:
         name = type(event).__name__
         self.state.counters.add('handler_failed', name)
-        fields = {'event': name, 'trace': traceback.format_exc(limit=-3)}
-        return [WriteLog('handler_failed', {**fields})]
+        trace = traceback.format_exc(limit=-3)
+        return [WriteLog('handler_failed', {'event': name, 'trace': trace})]
--- a/apricottally/explanation.py
+++ b/apricottally/explanation.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from apricottally import packet, shards
+from apricottally import packet
 
 if TYPE_CHECKING:
     from apricottally.routes import Service
@@ -130,8 +130,7 @@
     decisions: tuple[Decision, ...],
 ) -> tuple[Shard | None, int, str]:
     """Return which shard a first packet goes to, and who was chosen last."""
-    reachable = state.owners.list_reachable(service.name, service.shards)
-    shard = shards.choose_shard(reachable, key)
+    shard = state.owners.choose_shard(service.name, service.shards, key)
     if shard is None:
         return None, -1, 'no_backend'
     if decisions:
--- a/apricottally/forwarding.py
+++ b/apricottally/forwarding.py
@@ -17,7 +17,6 @@
     gue,
     outbound,
     packet,
-    shards,
     silence,
     succession,
 )
@@ -178,11 +177,10 @@
         return drop(state, 'no_number')
     key = packet.caller_key(arrival.payload, arrival.segment.start)
     service = route.service
-    reachable = state.owners.list_reachable(service.name, service.shards)
-    shard = shards.choose_shard(reachable, key)
+    shard = state.owners.choose_shard(service.name, service.shards, key)
     if shard is None:
         return drop(state, 'reset_without_number')
-    if _is_for_owner(state, shard, arrival.handover):
+    if succession.is_for_owner(state, shard, arrival.handover):
         return _hand_over(state, arrival, shard, Direction.caller)
     return endings.receive_bare_reset(
         state,
@@ -204,11 +202,10 @@
         return admission.refuse(state, arrival.segment, 'no_timestamps')
     key = packet.caller_key(arrival.payload, arrival.segment.start)
     service = route.service
-    reachable = state.owners.list_reachable(service.name, service.shards)
-    shard = shards.choose_shard(reachable, key)
+    shard = state.owners.choose_shard(service.name, service.shards, key)
     if shard is None:
         return admission.refuse(state, arrival.segment, 'no_backend')
-    if _is_for_owner(state, shard, arrival.handover):
+    if succession.is_for_owner(state, shard, arrival.handover):
         # A node that has no time for a SYN refuses it before the hop.
         refusal = admission.screen_syn(
             state, arrival.now, route, arrival.segment, key
@@ -268,7 +265,7 @@
     if not is_first:
         return closing.close_from_backend(state, arrival, route, number)
     shard = service.shard_of[number]
-    if _is_for_owner(state, shard, arrival.handover):
+    if succession.is_for_owner(state, shard, arrival.handover):
         return _hand_over(state, arrival, shard, Direction.backend)
     return _receive_answer(state, arrival, route, number)
 
@@ -308,19 +305,6 @@
     return receive_unknown(state, arrival, 'foreign_reply')
 
 
-def _is_for_owner(
-    state: NodeState,
-    shard: Shard,
-    handover: Handover | None,
-) -> bool:
-    """Tell whether the packet has to go on to another node."""
-    if state.owners.owns(shard.name, shard.zone):
-        return False
-    if handover is None:
-        return True
-    return succession.passes_on(state, shard, handover)
-
-
 def _hand_over(
     state: NodeState,
     arrival: Arrival,
--- a/apricottally/packet.py
+++ b/apricottally/packet.py
@@ -53,7 +53,6 @@
 _TIMESTAMPS_LENGTH = 10
 _ADDRESSES_OFFSET = 12
 _CHECKSUM_OFFSET = IP_LENGTH + 16
-_FLAGS_OFFSET = IP_LENGTH + 13
 _WORD = 0xFFFF
 
 
@@ -357,33 +356,6 @@
     )
 
 
-def reset_receiver(segment: Segment) -> bytes:
-    """Return the reset that ends the flow towards the packet's receiver.
-
-    It continues the sender's sequence, so the receiver accepts it. For a SYN,
-    the sequence after it.
-    """
-    length = segment.end - segment.payload
-    if segment.flags & (SYN | FIN):
-        length += 1
-    options = b''
-    if segment.timestamps:
-        options = encode_timestamps(
-            segment.ts_val,
-            segment.ts_ecr & ~NUMBER_MASK,
-        )
-    return build(
-        segment.src_ip,
-        segment.src_port,
-        segment.dst_ip,
-        segment.dst_port,
-        segment.seq + length,
-        0,
-        RST,
-        options,
-    )
-
-
 def is_valid(packet: bytes) -> bool:
     """Tell whether both checksums of an inner packet are right."""
     header_ok = _sum_words(packet[:IP_LENGTH]) == _WORD
--- a/apricottally/shards.py
+++ b/apricottally/shards.py
@@ -123,6 +123,15 @@
             self._trackers[bucket] = tracker
         return tracker
 
+    def choose_shard(
+        self,
+        service: str,
+        shards: tuple[Shard, ...],
+        key: bytes,
+    ) -> Shard | None:
+        """Return the shard of a service for a new flow."""
+        return choose_shard(self.list_reachable(service, shards), key)
+
     def list_reachable(
         self,
         service: str,
--- a/apricottally/succession.py
+++ b/apricottally/succession.py
@@ -48,8 +48,19 @@
     )
 
 
-def passes_on(state: NodeState, shard: Shard, handover: Handover) -> bool:
-    """Tell whether a handed-over packet goes on to the next owner."""
+def is_for_owner(
+    state: NodeState,
+    shard: Shard,
+    handover: Handover | None,
+) -> bool:
+    """Tell whether a packet has to go on to the owner, another node.
+
+    One that was handed over stays, unless this node is the former owner.
+    """
+    if state.owners.owns(shard.name, shard.zone):
+        return False
+    if handover is None:
+        return True
     if handover.hops >= LAST_HOP:
         return False
     owned = state.admissions.shards.get(shard.name)
--- a/checking/wire.py
+++ b/checking/wire.py
@@ -130,14 +130,12 @@
 @cache
 def cancel_syn(*, exact: bool) -> bytes:
     """Return the reset that cancels the SYN at a backend."""
-    inner = strip_syn()
-    if exact:
-        return packet.reset_receiver(parse(inner))
+    beyond = 0 if exact else _WINDOW_PART
     return packet.build(
         *fleet.CALLER,
         fleet.ADDRESS,
         fleet.PORT,
-        FIRST_SEQUENCE + _WINDOW_PART,
+        FIRST_SEQUENCE + beyond,
         0,
         RST,
     )
