--- /dev/null
+++ b/apricottally/tagged/effects.py
@@ -0,0 +1,84 @@
+"""Output of the reducer: one frozen type an effect, done by the shell."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+import msgspec
+
+from apricottally.addresses import Endpoint
+from apricottally.effects import Exit, LogValue
+from apricottally.tagged.packets import FlowPacket
+from apricottally.tagged.records import Backend
+
+
+class Forward(msgspec.Struct, frozen=True, gc=False):
+    """Send a client's packet to a backend.
+
+    A `tag` is written into the packet; None leaves it as it is.
+    """
+
+    backend: Backend
+    raw: bytes
+    tag: int | None = None
+
+
+class Reset(msgspec.Struct, frozen=True, gc=False):
+    """Send a reset to the client of a packet."""
+
+    packet: FlowPacket
+
+
+class SendPeer(msgspec.Struct, frozen=True, gc=False):
+    """Send a datagram to other nodes."""
+
+    dests: tuple[Endpoint, ...]
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ListRecords:
+    """Read all records of the platform."""
+
+
+@dataclass(frozen=True, slots=True)
+class WatchRecords:
+    """Wait for changes after a revision, for `wait_s` at most."""
+
+    after: int
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StopReading:
+    """End the list or watch in progress."""
+
+
+@dataclass(frozen=True, slots=True)
+class PullSnapshot:
+    """Read all records from a neighbour."""
+
+    peer: str
+    endpoint: Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class WriteLog:
+    """Write a structured log record."""
+
+    event: str
+    fields: dict[str, LogValue] = field(default_factory=dict)
+
+
+Effect: TypeAlias = (
+    Forward
+    | Reset
+    | SendPeer
+    | ListRecords
+    | WatchRecords
+    | StopReading
+    | PullSnapshot
+    | WriteLog
+    | Exit
+)
--- /dev/null
+++ b/apricottally/tagged/events.py
@@ -0,0 +1,107 @@
+"""Input of the reducer: one frozen type an event.
+
+Every event carries `now`, monotonic time in seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+import msgspec
+
+from apricottally.addresses import Endpoint
+from apricottally.tagged.messages import Snapshot
+from apricottally.tagged.packets import FlowPacket
+from apricottally.tagged.records import Change
+
+
+class PacketArrived(msgspec.Struct, frozen=True, gc=False):
+    """A packet of a client arrived."""
+
+    now: float
+    packet: FlowPacket
+
+
+class PeerArrived(msgspec.Struct, frozen=True, gc=False):
+    """A datagram of another node arrived; `source` is its sender's."""
+
+    now: float
+    source: Endpoint
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """The timer fired."""
+
+    now: float
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsListed:
+    """A complete list came from the platform.
+
+    The list was asked for at `asked_at` and holds at least every change up to
+    `revision`.
+    """
+
+    now: float
+    asked_at: float
+    revision: int
+    changes: tuple[Change, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsChanged:
+    """A watch of the platform returned; without changes it timed out.
+
+    `changes` are all that came after the revision `after`, up to `revision`.
+    """
+
+    now: float
+    asked_at: float
+    after: int
+    revision: int
+    changes: tuple[Change, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """A list or watch failed; `reason` is a counter label.
+
+    `compacted` says that the platform no longer has the history.
+    """
+
+    now: float
+    reason: str
+    compacted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotPulled:
+    """A neighbour's records came; None if the neighbour did not answer."""
+
+    now: float
+    asked_at: float
+    peer: str
+    snapshot: Snapshot | None
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownRequested:
+    """The process was asked to stop."""
+
+    now: float
+
+
+Event: TypeAlias = (
+    PacketArrived
+    | PeerArrived
+    | Ticked
+    | RecordsListed
+    | RecordsChanged
+    | ReadFailed
+    | SnapshotPulled
+    | ShutdownRequested
+)
--- /dev/null
+++ b/apricottally/tagged/flows.py
@@ -0,0 +1,147 @@
+"""Flows whose packets pass through this node, and what they show.
+
+The table is not needed to send packets on. It tells which requests are in
+progress: data of the client starts one, and the first acknowledgement beyond
+what was acknowledged before ends the backend's work on it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from apricottally.tagged.catalog import Entry
+from apricottally.tagged.occupancy import Occupancy
+from apricottally.tagged.packets import FlowPacket
+from apricottally.tagged.records import Route
+
+MAX_FLOWS = 100_000
+# A request without any packet for so long is no longer counted.
+BUSY_LIFE_S = 1.5
+# A closed flow is remembered for its last packets.
+CLOSED_LIFE_S = 3.0
+_HALF_RANGE = 1 << 31
+_RANGE = 1 << 32
+
+
+@dataclass(slots=True, eq=False)
+class Flow:
+    """One flow.
+
+    `tag` names its backend, `tried` the backends that got its first packet.
+    `sent_at` is when the last try was sent. `opened` says that the client has
+    answered the backend, `busy` that a request is in progress.
+    `acknowledged` and `sent_end` are the client's newest sequence numbers,
+    `initial` the one of its first packet, if that came through this node.
+    `data_at` is when the newest data was first seen.
+    """
+
+    key: bytes
+    tag: int
+    route: Route
+    sent_at: float
+    seen_at: float
+    syn: FlowPacket | None = None
+    tried: tuple[int, ...] = ()
+    opened: bool = False
+    busy: bool = False
+    closed: bool = False
+    initial: int | None = None
+    acknowledged: int = 0
+    sent_end: int = 0
+    data_at: float = 0
+
+
+@dataclass(slots=True)
+class FlowTable:
+    """Flows by key, and those whose first packet awaits an answer."""
+
+    occupancy: Occupancy
+    by_key: dict[bytes, Flow] = field(default_factory=dict)
+    opening: deque[Flow] = field(default_factory=deque)
+
+    def start(self, flow: Flow) -> None:
+        """Take a new flow that waits for its backend's answer."""
+        held = self.by_key.get(flow.key)
+        if held is not None:
+            self.close(held)
+        if len(self.by_key) >= MAX_FLOWS:
+            return
+        self.by_key[flow.key] = flow
+        flow.busy = True
+        self.occupancy.add_busy(flow.tag, 1)
+        self.occupancy.add_open(flow.tag, 1)
+        self.opening.append(flow)
+
+    def adopt(self, flow: Flow, packet: FlowPacket) -> None:
+        """Take a flow that was opened through another node."""
+        if len(self.by_key) >= MAX_FLOWS:
+            return
+        flow.opened = True
+        flow.acknowledged = packet.acknowledged
+        flow.sent_end = packet.sequence
+        self.by_key[flow.key] = flow
+        self.occupancy.add_open(flow.tag, 1)
+
+    def move(self, flow: Flow, entry: Entry, now: float) -> None:
+        """Count a flow at another backend, which gets its first packet."""
+        if entry.backend is None:
+            return
+        self._count(flow, -1)
+        flow.tag = entry.backend.tag
+        flow.tried += (flow.tag,)
+        flow.sent_at = now
+        self._count(flow, 1)
+        self.opening.append(flow)
+
+    def open_at(self, flow: Flow, tag: int) -> None:
+        """Note at which backend the client has opened the flow."""
+        if tag != flow.tag and tag:
+            self._count(flow, -1)
+            flow.tag = tag
+            self._count(flow, 1)
+        flow.opened = True
+        flow.syn = None
+
+    def begin(self, flow: Flow) -> None:
+        """Count a request that starts on the flow."""
+        if not flow.busy and not flow.closed:
+            flow.busy = True
+            self.occupancy.add_busy(flow.tag, 1)
+
+    def finish(self, flow: Flow) -> None:
+        """Count a request that the backend has answered."""
+        if flow.busy and not flow.closed:
+            flow.busy = False
+            self.occupancy.add_busy(flow.tag, -1)
+
+    def close(self, flow: Flow) -> None:
+        """Count a flow that has ended."""
+        if flow.closed:
+            return
+        self.finish(flow)
+        flow.closed = True
+        flow.syn = None
+        self.occupancy.add_open(flow.tag, -1)
+
+    def purge(self, now: float, idle_s: float) -> None:
+        """Drop closed and idle flows, and requests that went silent."""
+        old = []
+        for key, flow in self.by_key.items():
+            idle = now - flow.seen_at
+            if idle > BUSY_LIFE_S:
+                self.finish(flow)
+            if idle > (CLOSED_LIFE_S if flow.closed else idle_s):
+                old.append(key)
+        for key in old:
+            self.close(self.by_key.pop(key))
+
+    def _count(self, flow: Flow, sign: int) -> None:
+        if flow.busy:
+            self.occupancy.add_busy(flow.tag, sign)
+        self.occupancy.add_open(flow.tag, sign)
+
+
+def is_after(number: int, other: int) -> bool:
+    """Tell whether a 32-bit sequence number follows another."""
+    return number != other and (number - other) % _RANGE < _HALF_RANGE
--- /dev/null
+++ b/apricottally/tagged/linelog.py
@@ -0,0 +1,91 @@
+"""Structured log lines on standard output that never delay the process.
+
+A line is one JSON object. Each event name has a budget of lines; what is over
+it, and what a slow reader of the output leaves no room for, is counted and
+said once a period.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from collections import Counter, deque
+from collections.abc import Mapping
+
+import msgspec
+
+from apricottally.budgets import Budget
+from apricottally.effects import LogValue
+
+LINES_PER_S = 40.0
+BURST_LINES = 200.0
+MAX_PENDING_BYTES = 262_144
+REPORT_PERIOD_S = 5.0
+
+
+class LineLog:
+    """Writes lines to a file descriptor that is set to non-blocking."""
+
+    def __init__(self, descriptor: int, node: str) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._node = node
+        self._budgets: dict[str, Budget] = {}
+        self._pending: deque[bytes] = deque()
+        self._pending_bytes = 0
+        self._dropped: Counter[str] = Counter()
+        self._reported_at = float('-inf')
+
+    def write(
+        self,
+        now: float,
+        event: str,
+        fields: Mapping[str, LogValue],
+    ) -> None:
+        """Queue a line unless the budget of its event is used up."""
+        budget = self._budgets.get(event)
+        if budget is None:
+            budget = Budget(LINES_PER_S, BURST_LINES)
+            self._budgets[event] = budget
+        if not budget.take(now, 1):
+            self._dropped[f'rate_{event}'] += 1
+            return
+        self._queue(event, fields)
+
+    def flush(self, now: float) -> None:
+        """Write what the reader takes; report what was left out."""
+        if self._dropped and now - self._reported_at >= REPORT_PERIOD_S:
+            self._reported_at = now
+            counts = dict(self._dropped)
+            self._dropped.clear()
+            self._queue('suppressed', counts)
+        pending = self._pending
+        while pending:
+            chunk = b''.join(pending)
+            pending.clear()
+            self._pending_bytes = 0
+            try:
+                written = os.write(self._descriptor, chunk)
+            except BlockingIOError:
+                written = 0
+            except OSError:
+                # The reader is gone for good; lines have nowhere to go.
+                return
+            if written < len(chunk):
+                pending.append(chunk[written:])
+                self._pending_bytes = len(chunk) - written
+                return
+
+    def _queue(self, event: str, fields: Mapping[str, LogValue]) -> None:
+        line = {
+            'time': round(time.time(), 3),
+            'node': self._node,
+            'event': event,
+            **fields,
+        }
+        encoded = msgspec.json.encode(line) + b'\n'
+        if self._pending_bytes + len(encoded) > MAX_PENDING_BYTES:
+            self._dropped['reader_slow'] += 1
+            return
+        self._pending.append(encoded)
+        self._pending_bytes += len(encoded)
--- /dev/null
+++ b/apricottally/tagged/node.py
@@ -0,0 +1,285 @@
+"""A running node: events in, effects out, sockets and timers between."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from apricottally.addresses import Endpoint
+from apricottally.effects import Exit
+from apricottally.errors import CompactedError, InvariantError, PlatformError
+from apricottally.sockets import DatagramSocket, open_datagram_socket
+from apricottally.tagged import effects, events, spread
+from apricottally.tagged.linelog import LineLog
+from apricottally.tagged.messages import Snapshot
+from apricottally.tagged.packets import FlowPacket
+from apricottally.tagged.pulls import open_pull_server, pull
+from apricottally.tagged.records import Backend, Change
+from apricottally.tagged.reducer import reduce
+from apricottally.tagged.state import NodeState
+
+TICK_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Records of the platform, and the revision up to which they are whole."""
+
+    revision: int
+    changes: tuple[Change, ...]
+
+
+class Platform(Protocol):
+    """What a node needs of the platform's store.
+
+    Both calls raise `PlatformError`, `watch` also `CompactedError`.
+    """
+
+    async def list_records(self) -> Listing:
+        """Return all records."""
+
+    async def watch(self, after: int, wait_s: float) -> Listing:
+        """Return changes after a revision as soon as there is one."""
+
+
+class PacketCodec(Protocol):
+    """How packets look on the wire."""
+
+    def parse(self, payload: bytes) -> FlowPacket | None:
+        """Return a client's packet; None for anything else."""
+
+    def address_to_backend(
+        self,
+        backend: Backend,
+        raw: bytes,
+        tag: int | None,
+    ) -> bytes:
+        """Return a datagram for a backend, with the tag written into it."""
+
+    def build_reset(self, packet: FlowPacket) -> tuple[bytes, Endpoint]:
+        """Return a reset of a packet's flow, and where it goes."""
+
+
+class Node:
+    """Feeds events to the reducer and carries out the effects it returns."""
+
+    def __init__(
+        self,
+        state: NodeState,
+        platform: Platform,
+        codec: PacketCodec,
+        log: LineLog,
+    ) -> None:
+        self.state = state
+        self.loop = asyncio.get_running_loop()
+        self.exited: asyncio.Future[int] = self.loop.create_future()
+        self._platform = platform
+        self._codec = codec
+        self._log = log
+        self._packets: DatagramSocket | None = None
+        self._peers: DatagramSocket | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._actions: dict[type, Callable[[Any], object]] = {
+            effects.Forward: self._forward,
+            effects.Reset: self._reset,
+            effects.SendPeer: self._send_peer,
+            effects.ListRecords: self._list,
+            effects.WatchRecords: self._watch,
+            effects.PullSnapshot: self._pull,
+            effects.WriteLog: self._write_log,
+            Exit: self._exit,
+        }
+
+    def attach(self, packets: DatagramSocket, peers: DatagramSocket) -> None:
+        """Take the sockets to send from."""
+        self._packets = packets
+        self._peers = peers
+
+    def submit(self, event: events.Event) -> None:
+        """Apply one event and carry out its effects.
+
+        A fault in a handler is logged: one packet must not end the process.
+        """
+        try:
+            produced = reduce(self.state, event)
+        except InvariantError:
+            raise
+        except Exception:
+            self._report(event)
+            return
+        actions = self._actions
+        for effect in produced:
+            actions[type(effect)](effect)
+
+    def receive_packet(self, payload: bytes, source: Endpoint) -> None:
+        """Take a datagram of the packet socket."""
+        packet = self._codec.parse(payload)
+        if packet is None:
+            self.state.counters.add('dropped', 'malformed')
+            return
+        self.submit(events.PacketArrived(self.loop.time(), packet))
+
+    def receive_peer(self, payload: bytes, source: Endpoint) -> None:
+        """Take a datagram of the peer socket."""
+        self.submit(events.PeerArrived(self.loop.time(), source, payload))
+
+    def tick(self) -> None:
+        """Let the reducer act on the time that has passed.
+
+        What has arrived is read first, so that a late timer does not take
+        unread answers for missing ones.
+        """
+        if self._peers is not None:
+            self._peers.drain()
+        if self._packets is not None:
+            self._packets.drain()
+        self.submit(events.Ticked(self.loop.time()))
+        self._log.flush(self.loop.time())
+
+    def shut_down(self) -> None:
+        """Ask for a graceful shutdown; a second time, end at once."""
+        self.submit(events.ShutdownRequested(self.loop.time()))
+
+    def log(self, event: str, fields: dict[str, effects.LogValue]) -> None:
+        """Write a structured log line."""
+        self._log.write(self.loop.time(), event, fields)
+
+    def build_snapshot(self, after: int) -> Snapshot:
+        """Return what this node holds beyond a revision."""
+        return spread.build_snapshot(self.state, after, self.loop.time())
+
+    def close(self) -> None:
+        """End calls in progress and write the last lines."""
+        for task in self._tasks:
+            task.cancel()
+        self._log.flush(self.loop.time())
+
+    def _report(self, event: events.Event) -> None:
+        name = type(event).__name__
+        self.state.counters.add('handler_failed', name)
+        trace = traceback.format_exc(limit=-3)
+        self.log('handler_failed', {'input': name, 'trace': trace})
+
+    def _forward(self, effect: effects.Forward) -> None:
+        backend = effect.backend
+        payload = self._codec.address_to_backend(
+            backend, effect.raw, effect.tag
+        )
+        if self._packets is not None:
+            self._packets.send(payload, (backend.ip, backend.port))
+
+    def _reset(self, effect: effects.Reset) -> None:
+        payload, dest = self._codec.build_reset(effect.packet)
+        if self._packets is not None:
+            self._packets.send(payload, dest)
+
+    def _send_peer(self, effect: effects.SendPeer) -> None:
+        if self._peers is not None:
+            for dest in effect.dests:
+                self._peers.send(effect.payload, dest)
+
+    def _list(self, effect: effects.ListRecords) -> None:
+        self._run(self._read_list())
+
+    def _watch(self, effect: effects.WatchRecords) -> None:
+        self._run(self._read_changes(effect))
+
+    def _pull(self, effect: effects.PullSnapshot) -> None:
+        self._run(self._read_snapshot(effect))
+
+    def _write_log(self, effect: effects.WriteLog) -> None:
+        self._log.write(self.loop.time(), effect.event, effect.fields)
+
+    def _exit(self, effect: Exit) -> None:
+        if not self.exited.done():
+            self.exited.set_result(effect.status)
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _read_list(self) -> None:
+        asked_at = self.loop.time()
+        try:
+            listing = await self._platform.list_records()
+        except PlatformError as error:
+            self._fail_read(error)
+            return
+        self.submit(
+            events.RecordsListed(
+                self.loop.time(), asked_at, listing.revision, listing.changes
+            ),
+        )
+
+    async def _read_changes(self, effect: effects.WatchRecords) -> None:
+        asked_at = self.loop.time()
+        try:
+            listing = await self._platform.watch(effect.after, effect.wait_s)
+        except PlatformError as error:
+            self._fail_read(error)
+            return
+        self.submit(
+            events.RecordsChanged(
+                self.loop.time(),
+                asked_at,
+                effect.after,
+                listing.revision,
+                listing.changes,
+            ),
+        )
+
+    async def _read_snapshot(self, effect: effects.PullSnapshot) -> None:
+        asked_at = self.loop.time()
+        snapshot = await pull(effect.endpoint, self.state.catalog.revision)
+        self.submit(
+            events.SnapshotPulled(
+                self.loop.time(), asked_at, effect.peer, snapshot
+            ),
+        )
+
+    def _fail_read(self, error: PlatformError) -> None:
+        compacted = isinstance(error, CompactedError)
+        reason = 'compacted' if compacted else str(error)
+        self.submit(events.ReadFailed(self.loop.time(), reason, compacted))
+
+
+@asynccontextmanager
+async def open_node(
+    node: Node,
+    packet_endpoint: Endpoint,
+) -> AsyncIterator[None]:
+    """Open a node's sockets and run its timer until the block ends.
+
+    Raises `SocketError` if a port cannot be opened.
+    """
+    config = node.state.config
+    counters = node.state.counters
+    peer_endpoint = (config.ip, config.peer_port)
+    async with AsyncExitStack() as stack:
+        stack.callback(node.close)
+        packets = stack.enter_context(
+            open_datagram_socket(
+                packet_endpoint, node.receive_packet, counters
+            ),
+        )
+        peers = stack.enter_context(
+            open_datagram_socket(peer_endpoint, node.receive_peer, counters),
+        )
+        node.attach(packets, peers)
+        await stack.enter_async_context(
+            open_pull_server(peer_endpoint, node.build_snapshot),
+        )
+        timer = node.loop.create_task(_tick_forever(node))
+        stack.callback(timer.cancel)
+        yield
+
+
+async def _tick_forever(node: Node) -> None:
+    while True:
+        node.tick()
+        await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/apricottally/tagged/pulls.py
@@ -0,0 +1,94 @@
+"""Reading the records of another node over TCP.
+
+The asker sends the revision that it holds, as 8 bytes. The answer is a
+length of 4 bytes and a snapshot, compressed by zlib.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+import zlib
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+from apricottally.addresses import Endpoint
+from apricottally.errors import SocketError, WireError
+from apricottally.tagged.messages import Snapshot, decode_snapshot, encode
+
+_REVISION = struct.Struct('>Q')
+_LENGTH = struct.Struct('>I')
+TIMEOUT_S = 0.6
+MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
+# Errors of a connection; the end of the stream is an EOFError.
+_FAULTS = (OSError, EOFError, zlib.error, WireError)
+
+BuildSnapshot = Callable[[int], Snapshot]
+
+
+async def pull(endpoint: Endpoint, after: int) -> Snapshot | None:
+    """Return what a node holds beyond a revision; None if it fails."""
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            return await _exchange(endpoint, after)
+    except _FAULTS:
+        return None
+
+
+@asynccontextmanager
+async def open_pull_server(
+    endpoint: Endpoint,
+    build: BuildSnapshot,
+) -> AsyncIterator[None]:
+    """Answer pulls until the block ends.
+
+    Raises `SocketError` if the port cannot be opened.
+    """
+
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await _answer(reader, writer, build)
+        except _FAULTS:
+            # An asker that is slow or gone asks another node.
+            return
+        finally:
+            writer.close()
+
+    try:
+        server = await asyncio.start_server(serve, *endpoint)
+    except OSError as error:
+        raise SocketError(endpoint, str(error)) from error
+    try:
+        yield
+    finally:
+        server.close()
+
+
+async def _exchange(endpoint: Endpoint, after: int) -> Snapshot:
+    reader, writer = await asyncio.open_connection(*endpoint)
+    try:
+        writer.write(_REVISION.pack(after))
+        head = await reader.readexactly(_LENGTH.size)
+        length = _LENGTH.unpack(head)[0]
+        if length > MAX_SNAPSHOT_BYTES:
+            raise WireError('oversized_snapshot')
+        packed = await reader.readexactly(length)
+    finally:
+        writer.close()
+    return decode_snapshot(zlib.decompress(packed))
+
+
+async def _answer(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    build: BuildSnapshot,
+) -> None:
+    head = await reader.readexactly(_REVISION.size)
+    after = _REVISION.unpack(head)[0]
+    packed = zlib.compress(encode(build(after)), 1)
+    writer.write(_LENGTH.pack(len(packed)) + packed)
+    await writer.drain()
--- /dev/null
+++ b/apricottally/tagged/reducer.py
@@ -0,0 +1,106 @@
+"""The reducer: one function over all events that returns effects.
+
+It does no I/O. Time comes in with the events and random numbers from the
+generator in the state, so that a run can be repeated from its seed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from apricottally.effects import Exit
+from apricottally.tagged import beating, reading, spread, steering
+from apricottally.tagged.effects import Effect, WriteLog
+from apricottally.tagged.events import (
+    Event,
+    PacketArrived,
+    PeerArrived,
+    ReadFailed,
+    RecordsChanged,
+    RecordsListed,
+    ShutdownRequested,
+    SnapshotPulled,
+    Ticked,
+)
+from apricottally.tagged.state import NodeState
+
+# A gap between ticks that shows that this process did not run.
+PAUSE_S = 0.15
+PURGE_PERIOD_S = 0.5
+
+
+def reduce(state: NodeState, event: Event) -> list[Effect]:
+    """Apply one event to the state and return what has to be done."""
+    return _HANDLERS[type(event)](state, event)
+
+
+def _tick(state: NodeState, event: Ticked) -> list[Effect]:
+    now = event.now
+    effects: list[Effect] = []
+    gap = now - state.ticked_at
+    state.ticked_at = now
+    if gap > PAUSE_S:
+        effects += _resume(state, gap)
+    else:
+        effects += steering.retry_unanswered(state, now)
+    if now - state.purged_at >= PURGE_PERIOD_S:
+        state.purged_at = now
+        _purge(state, now)
+    if state.freshness.review(now):
+        fields = {'age_ms': state.freshness.age_ms(now)}
+        effects.append(WriteLog('records_old', fields))
+    state.suspicion.review(state.catalog.entries(), now)
+    effects += beating.tick(state, now)
+    effects += reading.tick(state, now)
+    return effects + _leave(state, now)
+
+
+def _resume(state: NodeState, gap: float) -> list[Effect]:
+    """Forget what was concluded from answers that could not be read."""
+    state.suspicion.clear()
+    for flow in state.flows.opening:
+        flow.sent_at += gap
+    state.counters.add('paused', 'tick_late')
+    return [WriteLog('paused', {'gap_ms': int(gap * 1000)})]
+
+
+def _purge(state: NodeState, now: float) -> None:
+    configuration = state.catalog.configuration
+    if configuration is None:
+        return
+    state.flows.purge(now, configuration.idle_timeout_ms / 1000)
+    state.catalog.forget(now)
+
+
+def _request_shutdown(
+    state: NodeState,
+    event: ShutdownRequested,
+) -> list[Effect]:
+    """Stop being ready; packets are carried until the exit."""
+    if state.stopping_since is not None:
+        return [Exit(1)]
+    state.stopping_since = event.now
+    state.beat_due = True
+    fields = {'open_flows': len(state.flows.by_key)}
+    return [WriteLog('stopping', fields)]
+
+
+def _leave(state: NodeState, now: float) -> list[Effect]:
+    since = state.stopping_since
+    if since is None or now - since < state.config.leave_s:
+        return []
+    fields = {'open_flows': len(state.flows.by_key)}
+    return [WriteLog('stopped', fields), Exit(0)]
+
+
+_HANDLERS: dict[type, Callable[[NodeState, Any], list[Effect]]] = {
+    PacketArrived: steering.receive,
+    PeerArrived: beating.receive,
+    Ticked: _tick,
+    RecordsListed: reading.receive_list,
+    RecordsChanged: reading.receive_changes,
+    ReadFailed: reading.receive_failure,
+    SnapshotPulled: spread.take_snapshot,
+    ShutdownRequested: _request_shutdown,
+}
--- /dev/null
+++ b/apricottally/tagged/spread.py
@@ -0,0 +1,256 @@
+"""Applying records from any source and passing them on to other nodes.
+
+A change is sent once to each of this node's neighbours. A node that has
+missed one sees a higher revision in a beat and pulls what is newer.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from apricottally.tagged import messages
+from apricottally.tagged.effects import (
+    Effect,
+    PullSnapshot,
+    SendPeer,
+    WriteLog,
+)
+from apricottally.tagged.events import (
+    RecordsChanged,
+    RecordsListed,
+    SnapshotPulled,
+)
+from apricottally.tagged.messages import Delta, Snapshot
+from apricottally.tagged.neighbours import Neighbour
+from apricottally.tagged.records import (
+    BackendChange,
+    Change,
+    ConfigurationChange,
+)
+
+if TYPE_CHECKING:
+    from apricottally.tagged.state import NodeState
+
+# A revision seen in a beat is pulled unless its changes come by themselves.
+PULL_AFTER_S = 0.03
+PULL_AGAIN_S = 0.5
+
+
+def take_list(state: NodeState, event: RecordsListed) -> list[Effect]:
+    """Apply a complete list of the platform."""
+    held = state.catalog.revision
+    effects, taken = _apply(state, event.changes, event.now)
+    names = [
+        change.name
+        for change in event.changes
+        if isinstance(change, BackendChange)
+    ]
+    grace_s = state.freshness.lapse_grace_s(event.now)
+    missing = state.catalog.retain(names, event.revision, event.now, grace_s)
+    effects += [_log_missing(state, name, event.now) for name in missing]
+    _advance(state, event.revision, event.asked_at, event.now)
+    if not held or not (taken or missing):
+        return effects
+    removed = [BackendChange(name, event.revision, None) for name in missing]
+    changes = (*taken, *removed)
+    return effects + _relay(state, held, changes, event.now)
+
+
+def take_watched(state: NodeState, event: RecordsChanged) -> list[Effect]:
+    """Apply what a watch of the platform has shown."""
+    effects, _ = _apply(state, event.changes, event.now)
+    if event.after > state.catalog.revision:
+        return effects
+    confirmed_at = event.asked_at
+    if not event.changes:
+        # The platform answers without changes only once the wait is over.
+        confirmed_at = min(confirmed_at + state.config.watch_wait_s, event.now)
+    _advance(state, event.revision, confirmed_at, event.now)
+    if not event.changes:
+        return effects
+    return effects + _relay(state, event.after, event.changes, event.now)
+
+
+def receive_delta(state: NodeState, delta: Delta, now: float) -> list[Effect]:
+    """Apply changes from another node, and pass new ones on."""
+    held = state.catalog.revision
+    if not held or delta.after > held:
+        sender = state.neighbours.by_name.get(delta.sender)
+        return _pull(state, sender, now) if sender else []
+    confirmed_at = now - delta.age_ms / 1000
+    if delta.revision <= held:
+        if delta.revision == held:
+            state.freshness.confirm(confirmed_at, now)
+        return []
+    effects, _ = _apply(state, delta.changes, now)
+    _advance(state, delta.revision, confirmed_at, now)
+    return effects + _relay(state, delta.after, delta.changes, now)
+
+
+def note_revision(
+    state: NodeState,
+    neighbour: Neighbour,
+    age_ms: int,
+    now: float,
+) -> list[Effect]:
+    """Compare a neighbour's revision with the own one."""
+    held = state.catalog.revision
+    if neighbour.revision == held and held:
+        state.freshness.confirm(now - age_ms / 1000, now)
+        state.behind_since = None
+        return []
+    if neighbour.revision < held or not neighbour.revision:
+        return []
+    if state.behind_since is None:
+        state.behind_since = now
+    if held and now - state.behind_since < PULL_AFTER_S:
+        return []
+    return _pull(state, neighbour, now)
+
+
+def take_snapshot(state: NodeState, event: SnapshotPulled) -> list[Effect]:
+    """Apply what was pulled from a neighbour."""
+    state.pulling_since = None
+    snapshot = event.snapshot
+    if snapshot is None:
+        state.counters.add('pull_failed', 'no_answer')
+        return []
+    effects, _ = _apply(state, snapshot.changes, event.now)
+    if snapshot.complete:
+        names = [
+            change.name
+            for change in snapshot.changes
+            if isinstance(change, BackendChange)
+        ]
+        grace_s = state.freshness.lapse_grace_s(event.now)
+        state.catalog.retain(names, snapshot.revision, event.now, grace_s)
+    confirmed_at = event.asked_at - snapshot.age_ms / 1000
+    _advance(state, snapshot.revision, confirmed_at, event.now)
+    return effects
+
+
+def build_snapshot(state: NodeState, after: int, now: float) -> Snapshot:
+    """Return what is newer than a revision, for a neighbour."""
+    complete = not after or after < state.catalog.forgotten
+    return Snapshot(
+        state.catalog.revision,
+        state.freshness.age_ms(now),
+        complete,
+        state.catalog.list_changes(0 if complete else after),
+    )
+
+
+def _apply(
+    state: NodeState,
+    changes: tuple[Change, ...],
+    now: float,
+) -> tuple[list[Effect], list[Change]]:
+    """Apply changes; return log records and the changes that were new."""
+    grace_s = state.freshness.lapse_grace_s(now)
+    version = state.version
+    taken = [
+        change
+        for change in changes
+        if state.catalog.apply(change, now, grace_s)
+    ]
+    state.invariants.check(
+        'configuration_version_monotone',
+        holds=state.version >= version,
+        detail=(version, state.version),
+    )
+    return [_log_change(state, change, now) for change in taken], taken
+
+
+def _advance(
+    state: NodeState,
+    revision: int,
+    confirmed_at: float,
+    now: float,
+) -> None:
+    if revision < state.catalog.revision:
+        return
+    state.catalog.revision = revision
+    state.freshness.confirm(confirmed_at, now)
+    state.behind_since = None
+
+
+def _relay(
+    state: NodeState,
+    after: int,
+    changes: tuple[Change, ...],
+    now: float,
+) -> list[Effect]:
+    """Send changes to the neighbours; large ones are announced by a beat."""
+    targets = [
+        neighbour.endpoint
+        for neighbour in state.neighbours.list_targets(now, state.rng)
+        if neighbour.revision < state.catalog.revision
+    ]
+    if not targets:
+        return []
+    delta = Delta(
+        state.config.name,
+        after,
+        state.catalog.revision,
+        state.freshness.age_ms(now),
+        tuple(changes),
+    )
+    payload = messages.encode(delta)
+    if len(payload) > messages.MAX_DATAGRAM_BYTES:
+        state.beat_due = True
+        return []
+    state.counters.add('relayed', 'delta', len(targets))
+    return [SendPeer(tuple(targets), payload)]
+
+
+def _pull(
+    state: NodeState,
+    neighbour: Neighbour,
+    now: float,
+) -> list[Effect]:
+    since = state.pulling_since
+    if since is not None and now - since < PULL_AGAIN_S:
+        return []
+    state.pulling_since = now
+    state.counters.add('pulled', 'behind')
+    return [PullSnapshot(neighbour.peer.name, neighbour.endpoint)]
+
+
+def _log_change(state: NodeState, change: Change, now: float) -> WriteLog:
+    age_ms = state.freshness.age_ms(now)
+    if isinstance(change, ConfigurationChange):
+        return WriteLog(
+            'configuration_in_force',
+            {
+                'version': change.configuration.version,
+                'revision': change.revision,
+                'routes': len(change.configuration.routes),
+                'age_ms': age_ms,
+            },
+        )
+    backend = change.backend
+    if backend is None:
+        status = 'removed'
+    else:
+        status = 'draining' if backend.draining else 'ready'
+    return WriteLog(
+        'backend_changed',
+        {
+            'backend': change.name,
+            'state': status,
+            'revision': change.revision,
+            'age_ms': age_ms,
+        },
+    )
+
+
+def _log_missing(state: NodeState, name: str, now: float) -> WriteLog:
+    return WriteLog(
+        'backend_changed',
+        {
+            'backend': name,
+            'state': 'missing',
+            'revision': state.catalog.revision,
+            'age_ms': state.freshness.age_ms(now),
+        },
+    )
--- /dev/null
+++ b/apricottally/tagged/suspicion.py
@@ -0,0 +1,163 @@
+"""Backends that do not answer, judged by the progress of their flows.
+
+A node sees only the clients' packets. A client that opens a flow or
+acknowledges more bytes proves that its backend answers; a first packet
+without an answer, or data sent again, counts against the backend. Any proof
+clears it. The nodes of a zone tell each other which backends are dark; nodes
+of other zones may see a backend over another path, so their word is unused.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from apricottally.tagged.catalog import Entry
+
+# How long a backend is avoided after its first, second and further misses.
+DOUBT_S = (0.3, 1.0, 2.0)
+# Flows that must have missed an answer, and time without any proof, before a
+# backend counts as dark.
+DARK_MISSES = 3
+DARK_S = 0.25
+# A miss older than this no longer counts.
+MISS_LIFE_S = 4.0
+# Doubted backends, and their part of a zone, that put all of it in doubt.
+ZONE_MISSES = 2
+ZONE_SHARE = 0.4
+# A neighbour's word lasts so long, and counts only if no proof is newer.
+WORD_LIFE_S = 1.0
+_LONG_AGO = float('-inf')
+
+
+@dataclass(slots=True)
+class Health:
+    """Evidence on one backend; times are monotonic seconds."""
+
+    proved_at: float = _LONG_AGO
+    doubted_until: float = _LONG_AGO
+    # Time of the last miss, by flow.
+    misses: dict[bytes, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """Evidence on all backends, by tag."""
+
+    health: dict[int, Health] = field(default_factory=dict)
+    words: dict[int, float] = field(default_factory=dict)
+    zones: frozenset[str] = frozenset()
+
+    def note_proof(self, tag: int, now: float) -> None:
+        """Take an answer of the backend as proof that it works."""
+        health = self._find(tag)
+        health.proved_at = now
+        if health.misses:
+            health.misses.clear()
+            health.doubted_until = _LONG_AGO
+        if self.words:
+            self.words.pop(tag, None)
+
+    def note_miss(
+        self,
+        tag: int,
+        key: bytes,
+        sent_at: float,
+        now: float,
+    ) -> bool:
+        """Count a packet without answer; tell whether it counts."""
+        health = self._find(tag)
+        if sent_at <= health.proved_at:
+            return False
+        health.misses[key] = now
+        step = min(len(health.misses), len(DOUBT_S)) - 1
+        health.doubted_until = max(health.doubted_until, now + DOUBT_S[step])
+        return True
+
+    def note_words(self, tags: Iterable[int], now: float) -> None:
+        """Take a neighbour's word that backends are dark."""
+        for tag in tags:
+            health = self.health.get(tag)
+            proved_at = health.proved_at if health else _LONG_AGO
+            if now - proved_at > WORD_LIFE_S:
+                self.words[tag] = now + WORD_LIFE_S
+
+    def is_doubted(self, tag: int, zone: str, now: float) -> bool:
+        """Tell whether new flows should avoid the backend."""
+        health = self.health.get(tag)
+        if health is not None and now < health.doubted_until:
+            return True
+        if self.words and now < self.words.get(tag, _LONG_AGO):
+            return True
+        if zone not in self.zones:
+            return False
+        return health is None or now - health.proved_at > DARK_S
+
+    def is_dark(self, tag: int, now: float) -> bool:
+        """Tell whether the backend has answered none of several flows."""
+        health = self.health.get(tag)
+        if health is None or now - health.proved_at < DARK_S:
+            return False
+        recent = [
+            at for at in health.misses.values() if now - at < MISS_LIFE_S
+        ]
+        return len(recent) >= DARK_MISSES
+
+    def list_dark(self, now: float) -> tuple[int, ...]:
+        """Return the tags of all dark backends."""
+        return tuple(
+            tag
+            for tag, health in self.health.items()
+            if len(health.misses) >= DARK_MISSES and self.is_dark(tag, now)
+        )
+
+    def clear(self) -> None:
+        """Forget all misses, after a pause of this process."""
+        for health in self.health.values():
+            health.misses.clear()
+            health.doubted_until = _LONG_AGO
+
+    def review(self, entries: Iterable[Entry], now: float) -> None:
+        """Drop old misses and judge whether whole zones are out of reach."""
+        self._drop_old(now)
+        if not any(health.misses for health in self.health.values()):
+            self.zones = frozenset()
+            return
+        doubted: defaultdict[str, int] = defaultdict(int)
+        total: defaultdict[str, int] = defaultdict(int)
+        for entry in entries:
+            backend = entry.backend
+            if backend is None or not entry.is_live():
+                continue
+            total[backend.zone] += 1
+            health = self.health.get(backend.tag)
+            if health is not None and now < health.doubted_until:
+                doubted[backend.zone] += 1
+        self.zones = frozenset(
+            zone
+            for zone, count in doubted.items()
+            if count >= ZONE_MISSES and count >= ZONE_SHARE * total[zone]
+        )
+
+    def _drop_old(self, now: float) -> None:
+        for health in self.health.values():
+            if not health.misses:
+                continue
+            old = [
+                key
+                for key, at in health.misses.items()
+                if now - at > MISS_LIFE_S
+            ]
+            for key in old:
+                health.misses.pop(key)
+        lapsed = [tag for tag, until in self.words.items() if until <= now]
+        for tag in lapsed:
+            self.words.pop(tag)
+
+    def _find(self, tag: int) -> Health:
+        health = self.health.get(tag)
+        if health is None:
+            health = Health()
+            self.health[tag] = health
+        return health
