Reset flows of dark backends only after a failed probe

Change: a request without progress for 0.12 s has its backend probed by two TCP connections; only a failed probe lets flows be reset, at once.

--- a/apricottally/tagged/effects.py
+++ b/apricottally/tagged/effects.py
@@ -63,6 +63,13 @@
     endpoint: Endpoint
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeBackend:
+    """Try to connect to a backend server."""
+
+    backend: Backend
+
+
 @dataclass(frozen=True, slots=True)
 class WriteLog:
     """Write a structured log record."""
@@ -79,6 +86,7 @@
     | WatchRecords
     | StopReading
     | PullSnapshot
+    | ProbeBackend
     | WriteLog
     | Exit
 )
--- a/apricottally/tagged/events.py
+++ b/apricottally/tagged/events.py
@@ -88,6 +88,16 @@
     snapshot: Snapshot | None
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    """A probe of a backend ended; `reached` says that it connected."""
+
+    now: float
+    asked_at: float
+    tag: int
+    reached: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ShutdownRequested:
     """The process was asked to stop."""
@@ -103,5 +113,6 @@
     | RecordsChanged
     | ReadFailed
     | SnapshotPulled
+    | ProbeEnded
     | ShutdownRequested
 )
--- a/apricottally/tagged/flows.py
+++ b/apricottally/tagged/flows.py
@@ -33,7 +33,8 @@
     answered the backend, `busy` that a request is in progress.
     `acknowledged` and `sent_end` are the client's newest sequence numbers,
     `initial` the one of its first packet, if that came through this node.
-    `data_at` is when the newest data was first seen.
+    `data_at` is when the newest data was first seen, `last` the packet that
+    carried it.
     """
 
     key: bytes
@@ -50,6 +51,7 @@
     acknowledged: int = 0
     sent_end: int = 0
     data_at: float = 0
+    last: FlowPacket | None = None
 
 
 @dataclass(slots=True)
@@ -59,6 +61,8 @@
     occupancy: Occupancy
     by_key: dict[bytes, Flow] = field(default_factory=dict)
     opening: deque[Flow] = field(default_factory=deque)
+    # Requests whose answers are awaited: when each began, and its flow.
+    awaiting: deque[tuple[float, Flow]] = field(default_factory=deque)
 
     def start(self, flow: Flow) -> None:
         """Take a new flow that waits for its backend's answer."""
@@ -103,14 +107,18 @@
         flow.opened = True
         flow.syn = None
 
-    def begin(self, flow: Flow) -> None:
+    def begin(self, flow: Flow, packet: FlowPacket, now: float) -> None:
         """Count a request that starts on the flow."""
+        flow.data_at = now
+        flow.last = packet
+        self.awaiting.append((now, flow))
         if not flow.busy and not flow.closed:
             flow.busy = True
             self.occupancy.add_busy(flow.tag, 1)
 
     def finish(self, flow: Flow) -> None:
         """Count a request that the backend has answered."""
+        flow.last = None
         if flow.busy and not flow.closed:
             flow.busy = False
             self.occupancy.add_busy(flow.tag, -1)
--- a/apricottally/tagged/node.py
+++ b/apricottally/tagged/node.py
@@ -23,6 +23,9 @@
 from apricottally.tagged.state import NodeState
 
 TICK_S = 0.01
+# A probe makes two connections at a time, since a packet may be lost.
+PROBE_TIMEOUT_S = 0.2
+PROBE_CONNECTIONS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +93,7 @@
             effects.ListRecords: self._list,
             effects.WatchRecords: self._watch,
             effects.PullSnapshot: self._pull,
+            effects.ProbeBackend: self._probe,
             effects.WriteLog: self._write_log,
             Exit: self._exit,
         }
@@ -191,6 +195,9 @@
     def _pull(self, effect: effects.PullSnapshot) -> None:
         self._run(self._read_snapshot(effect))
 
+    def _probe(self, effect: effects.ProbeBackend) -> None:
+        self._run(self._probe_backend(effect.backend))
+
     def _write_log(self, effect: effects.WriteLog) -> None:
         self._log.write(self.loop.time(), effect.event, effect.fields)
 
@@ -242,6 +249,23 @@
             ),
         )
 
+    async def _probe_backend(self, backend: Backend) -> None:
+        asked_at = self.loop.time()
+        tries = [
+            self.loop.create_task(_connect(backend))
+            for _ in range(PROBE_CONNECTIONS)
+        ]
+        reached = False
+        for done in asyncio.as_completed(tries):
+            if await done:
+                reached = True
+                break
+        self.submit(
+            events.ProbeEnded(
+                self.loop.time(), asked_at, backend.tag, reached
+            ),
+        )
+
     def _fail_read(self, error: PlatformError) -> None:
         compacted = isinstance(error, CompactedError)
         reason = 'compacted' if compacted else str(error)
@@ -279,6 +303,17 @@
         yield
 
 
+async def _connect(backend: Backend) -> bool:
+    """Tell whether a backend takes a connection."""
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(backend.ip, backend.port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 async def _tick_forever(node: Node) -> None:
     while True:
         node.tick()
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -16,6 +16,7 @@
     Event,
     PacketArrived,
     PeerArrived,
+    ProbeEnded,
     ReadFailed,
     RecordsChanged,
     RecordsListed,
@@ -44,6 +45,7 @@
         effects += _resume(state, gap)
     else:
         effects += steering.retry_unanswered(state, now)
+        effects += steering.probe_silent(state, now)
     if now - state.purged_at >= PURGE_PERIOD_S:
         state.purged_at = now
         _purge(state, now)
@@ -101,6 +103,7 @@
     RecordsListed: reading.receive_list,
     RecordsChanged: reading.receive_changes,
     ReadFailed: reading.receive_failure,
+    ProbeEnded: steering.end_probe,
     SnapshotPulled: spread.take_snapshot,
     ShutdownRequested: _request_shutdown,
 }
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -7,8 +7,14 @@
 from apricottally.addresses import format_ip
 from apricottally.tagged import choice
 from apricottally.tagged.catalog import Entry
-from apricottally.tagged.effects import Effect, Forward, Reset, WriteLog
-from apricottally.tagged.events import PacketArrived
+from apricottally.tagged.effects import (
+    Effect,
+    Forward,
+    ProbeBackend,
+    Reset,
+    WriteLog,
+)
+from apricottally.tagged.events import PacketArrived, ProbeEnded
 from apricottally.tagged.flows import Flow, is_after
 from apricottally.tagged.packets import ACK, FIN, RST, SYN, FlowPacket
 from apricottally.tagged.records import Repetition, Route
@@ -20,6 +26,8 @@
 GONE_AFTER_S = 2.5
 # Tries of a first packet, the client's copies included.
 MAX_TRIES = 4
+# A request without progress for so long has its backend probed.
+PROBE_AFTER_S = 0.12
 
 
 def receive(state: NodeState, event: PacketArrived) -> list[Effect]:
@@ -45,11 +53,65 @@
         counted = state.suspicion.note_miss(
             flow.tag, flow.key, flow.sent_at, now
         )
-        if counted and len(flow.tried) < MAX_TRIES - 1:
+        if not counted:
+            continue
+        effects += _probe(state, flow.tag, flow.sent_at, now)
+        if len(flow.tried) < MAX_TRIES - 1:
             effects += _try_another(state, flow, now, 'no_answer')
     return effects
 
 
+def probe_silent(state: NodeState, now: float) -> list[Effect]:
+    """Probe backends whose requests make no progress."""
+    effects: list[Effect] = []
+    awaiting = state.flows.awaiting
+    while awaiting and now - awaiting[0][0] >= PROBE_AFTER_S:
+        began_at, flow = awaiting.popleft()
+        if flow.busy and flow.data_at == began_at:
+            effects += _probe(state, flow.tag, began_at, now)
+    return effects
+
+
+def end_probe(state: NodeState, event: ProbeEnded) -> list[Effect]:
+    """Take the end of a probe; end the flows of a dark backend.
+
+    A client whose request may be repeated is told at once. One whose request
+    may have run keeps its flow: the backend may still answer.
+    """
+    tag = event.tag
+    now = event.now
+    if event.reached:
+        state.suspicion.note_proof(tag, now)
+        return []
+    state.counters.add('probe', 'failed')
+    if not state.suspicion.note_unreached(tag, event.asked_at, now):
+        return []
+    effects: list[Effect] = [
+        WriteLog('backend_dark', {'tag': tag, 'version': state.version})
+    ]
+    for flow in list(state.flows.by_key.values()):
+        if flow.tag != tag or not flow.busy or flow.last is None:
+            continue
+        if flow.route.repetition is Repetition.idempotent:
+            effects += _reset(state, flow.last, 'backend_dark', now)
+    return effects
+
+
+def _probe(
+    state: NodeState,
+    tag: int,
+    since: float,
+    now: float,
+) -> list[Effect]:
+    entry = state.catalog.find_tag(tag)
+    if entry is None or entry.backend is None:
+        return []
+    if not state.suspicion.wants_probe(tag, since, now):
+        return []
+    state.counters.add('probe', 'begun')
+    return [ProbeBackend(entry.backend)]
+
+
 def _receive_first(
     state: NodeState,
     packet: FlowPacket,
@@ -198,11 +260,7 @@
     end = (packet.sequence + packet.length) & 0xFFFFFFFF
     if is_after(end, flow.sent_end):
         flow.sent_end = end
-        flow.data_at = now
-        state.flows.begin(flow)
-        return
-    # Data sent again: the backend has not acknowledged it.
-    state.suspicion.note_miss(flow.tag, flow.key, flow.data_at, now)
+        state.flows.begin(flow, packet, now)
 
 
 def _should_end(
--- a/apricottally/tagged/suspicion.py
+++ b/apricottally/tagged/suspicion.py
@@ -1,9 +1,11 @@
 """Backends that do not answer, judged by the progress of their flows.
 
 A node sees only the clients' packets. A client that opens a flow or
-acknowledges more bytes proves that its backend answers; a first packet
-without an answer, or data sent again, counts against the backend. Any proof
-clears it. The nodes of a zone tell each other which backends are dark; nodes
+acknowledges more bytes proves that its backend answers. A first packet
+without an answer counts against the backend, and a request without progress
+asks for a probe, a TCP connection to the backend: an overloaded backend is
+late with its answers, but takes connections. Only a backend that fails a
+probe is dark; any proof clears it. The nodes of a zone tell each other which backends are dark; nodes
 of other zones may see a backend over another path, so their word is unused.
 """
 
@@ -17,10 +19,11 @@
 
 # How long a backend is avoided after its first, second and further misses.
 DOUBT_S = (0.3, 1.0, 2.0)
-# Flows that must have missed an answer, and time without any proof, before a
-# backend counts as dark.
-DARK_MISSES = 3
-DARK_S = 0.25
+# A verdict of a probe lasts so long; a backend is probed once in this time.
+DARK_S = 1.0
+PROBE_PERIOD_S = 0.5
+# Time without any proof from which a zone's doubt covers a backend.
+UNPROVED_S = 0.25
 # A miss older than this no longer counts.
 MISS_LIFE_S = 4.0
 # Doubted backends, and their part of a zone, that put all of it in doubt.
@@ -36,6 +39,8 @@
     """Evidence on one backend; times are monotonic seconds."""
 
     proved_at: float = _LONG_AGO
+    probed_at: float = _LONG_AGO
+    dark_until: float = _LONG_AGO
     doubted_until: float = _LONG_AGO
     # Time of the last miss, by flow.
     misses: dict[bytes, float] = field(default_factory=dict)
@@ -53,6 +58,7 @@
         """Take an answer of the backend as proof that it works."""
         health = self._find(tag)
         health.proved_at = now
+        health.dark_until = _LONG_AGO
         if health.misses:
             health.misses.clear()
             health.doubted_until = _LONG_AGO
@@ -75,6 +81,28 @@
         health.doubted_until = max(health.doubted_until, now + DOUBT_S[step])
         return True
 
+    def wants_probe(self, tag: int, since: float, now: float) -> bool:
+        """Tell whether a probe is due; note that it is made.
+
+        None is due if the backend has proved itself since a time.
+        """
+        health = self._find(tag)
+        if health.proved_at >= since:
+            return False
+        if now - health.probed_at < PROBE_PERIOD_S:
+            return False
+        health.probed_at = now
+        return True
+
+    def note_unreached(self, tag: int, asked_at: float, now: float) -> bool:
+        """Take a failed probe; tell whether the backend is dark by it."""
+        health = self._find(tag)
+        if health.proved_at >= asked_at:
+            return False
+        health.dark_until = now + DARK_S
+        health.doubted_until = max(health.doubted_until, now + DOUBT_S[-1])
+        return True
+
     def note_words(self, tags: Iterable[int], now: float) -> None:
         """Take a neighbour's word that backends are dark."""
         for tag in tags:
@@ -92,24 +120,19 @@
             return True
         if zone not in self.zones:
             return False
-        return health is None or now - health.proved_at > DARK_S
+        return health is None or now - health.proved_at > UNPROVED_S
 
     def is_dark(self, tag: int, now: float) -> bool:
-        """Tell whether the backend has answered none of several flows."""
+        """Tell whether a probe has failed and nothing has come since."""
         health = self.health.get(tag)
-        if health is None or now - health.proved_at < DARK_S:
-            return False
-        recent = [
-            at for at in health.misses.values() if now - at < MISS_LIFE_S
-        ]
-        return len(recent) >= DARK_MISSES
+        return health is not None and now < health.dark_until
 
     def list_dark(self, now: float) -> tuple[int, ...]:
         """Return the tags of all dark backends."""
         return tuple(
             tag
             for tag, health in self.health.items()
-            if len(health.misses) >= DARK_MISSES and self.is_dark(tag, now)
+            if now < health.dark_until
         )
 
     def clear(self) -> None:
@@ -117,11 +140,14 @@
         for health in self.health.values():
             health.misses.clear()
             health.doubted_until = _LONG_AGO
+            health.dark_until = _LONG_AGO
 
     def review(self, entries: Iterable[Entry], now: float) -> None:
         """Drop old misses and judge whether whole zones are out of reach."""
         self._drop_old(now)
-        if not any(health.misses for health in self.health.values()):
+        if not any(
+            now < health.doubted_until for health in self.health.values()
+        ):
             self.zones = frozenset()
             return
         doubted: defaultdict[str, int] = defaultdict(int)
