Stop counting requests that went silent after 0.5 s

Change: a request without packets is counted for 0.5 s, that of a flow which its client has not opened for 0.25 s.

--- a/apricottally/tagged/flows.py
+++ b/apricottally/tagged/flows.py
@@ -16,8 +16,11 @@
 from apricottally.tagged.records import Route
 
 MAX_FLOWS = 100_000
-# A request without any packet for so long is no longer counted.
-BUSY_LIFE_S = 1.5
+# A request without any packet for so long is no longer counted: its client
+# has given up, or the backend holds it beyond any queue.
+BUSY_LIFE_S = 0.5
+# The same for a flow that its client has not opened.
+OPENING_LIFE_S = 0.25
 # A closed flow is remembered for its last packets.
 CLOSED_LIFE_S = 3.0
 _HALF_RANGE = 1 << 31
@@ -137,7 +140,7 @@
         old = []
         for key, flow in self.by_key.items():
             idle = now - flow.seen_at
-            if idle > BUSY_LIFE_S:
+            if idle > (BUSY_LIFE_S if flow.opened else OPENING_LIFE_S):
                 self.finish(flow)
             if idle > (CLOSED_LIFE_S if flow.closed else idle_s):
                 old.append(key)
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -28,7 +28,7 @@
 
 # A gap between ticks that shows that this process did not run.
 PAUSE_S = 0.15
-PURGE_PERIOD_S = 0.5
+PURGE_PERIOD_S = 0.1
 
 
 def reduce(state: NodeState, event: Event) -> list[Effect]:
