--- a/apricottally/errors.py
+++ b/apricottally/errors.py
@@ -55,6 +55,10 @@
     """The platform no longer keeps the revision that was asked for."""
 
 
+class PullError(ApricottallyError):
+    """A neighbour did not give its records."""
+
+
 class PublishError(ApricottallyError):
     """A publication that was not accepted, or whose outcome is unknown."""
 
--- a/apricottally/tagged/events.py
+++ b/apricottally/tagged/events.py
@@ -80,12 +80,13 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotPulled:
-    """A neighbour's records came; None if the neighbour did not answer."""
+    """A neighbour's records came, or None and what the problem was."""
 
     now: float
     asked_at: float
     peer: str
     snapshot: Snapshot | None
+    problem: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricottally/tagged/node.py
+++ b/apricottally/tagged/node.py
@@ -11,7 +11,12 @@
 
 from apricottally.addresses import Endpoint
 from apricottally.effects import Exit
-from apricottally.errors import CompactedError, InvariantError, PlatformError
+from apricottally.errors import (
+    CompactedError,
+    InvariantError,
+    PlatformError,
+    PullError,
+)
 from apricottally.sockets import DatagramSocket, open_datagram_socket
 from apricottally.tagged import effects, events, spread
 from apricottally.tagged.linelog import LineLog
@@ -242,10 +247,15 @@
 
     async def _read_snapshot(self, effect: effects.PullSnapshot) -> None:
         asked_at = self.loop.time()
-        snapshot = await pull(effect.endpoint, self.state.catalog.revision)
+        snapshot: Snapshot | None = None
+        problem = ''
+        try:
+            snapshot = await pull(effect.endpoint, self.state.catalog.revision)
+        except PullError as error:
+            problem = str(error)
         self.submit(
             events.SnapshotPulled(
-                self.loop.time(), asked_at, effect.peer, snapshot
+                self.loop.time(), asked_at, effect.peer, snapshot, problem
             ),
         )
 
--- a/apricottally/tagged/pulls.py
+++ b/apricottally/tagged/pulls.py
@@ -13,7 +13,7 @@
 from contextlib import asynccontextmanager
 
 from apricottally.addresses import Endpoint
-from apricottally.errors import SocketError, WireError
+from apricottally.errors import PullError, SocketError, WireError
 from apricottally.tagged.messages import Snapshot, decode_snapshot, encode
 
 _REVISION = struct.Struct('>Q')
@@ -26,13 +26,13 @@
 BuildSnapshot = Callable[[int], Snapshot]
 
 
-async def pull(endpoint: Endpoint, after: int) -> Snapshot | None:
-    """Return what a node holds beyond a revision; None if it fails."""
+async def pull(endpoint: Endpoint, after: int) -> Snapshot:
+    """Return what a node holds beyond a revision; raises `PullError`."""
     try:
         async with asyncio.timeout(TIMEOUT_S):
             return await _exchange(endpoint, after)
-    except _FAULTS:
-        return None
+    except _FAULTS as error:
+        raise PullError(repr(error)) from error
 
 
 @asynccontextmanager
--- a/apricottally/tagged/spread.py
+++ b/apricottally/tagged/spread.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from apricottally.effects import LogValue
 from apricottally.tagged import messages
 from apricottally.tagged.effects import (
     Effect,
@@ -97,7 +98,6 @@
     held = state.catalog.revision
     if neighbour.revision == held and held:
         state.freshness.confirm(now - age_ms / 1000, now)
-        state.behind_since = None
         return []
     if neighbour.revision < held or not neighbour.revision:
         return []
@@ -114,7 +114,11 @@
     snapshot = event.snapshot
     if snapshot is None:
         state.counters.add('pull_failed', 'no_answer')
-        return []
+        fields: dict[str, LogValue] = {
+            'neighbour': event.peer,
+            'problem': event.problem,
+        }
+        return [WriteLog('pull_failed', fields)]
     effects, _ = _apply(state, snapshot.changes, event.now)
     if snapshot.complete:
         names = [
