--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 # Tests run side by side; each has its own seed and addresses.
 WORKERS ?= 6
 STEPS ?= 20000
-CODE := apricottally standins demo bench soak checking tests
+CODE := apricottally platform standins demo bench soak checking tests
 
-export PYTHONPATH := $(CURDIR)
+export PYTHONPATH := $(CURDIR):$(CURDIR)/platform
 
 .PHONY: all demo test bench soak format lint types unit
 
--- a/apricottally/tagged/beating.py
+++ b/apricottally/tagged/beating.py
@@ -30,11 +30,9 @@
     contacts = state.neighbours.list_contacts(now, state.rng)
     if contacts:
         effects.append(SendPeer(tuple(contacts), _build(state, now)))
-    since = now - state.beaten_at
-    changed = state.occupancy.changed and since >= BUSY_PERIOD_S
-    if not (changed or state.beat_due or since >= IDLE_PERIOD_S):
-        return effects
-    return effects + _beat(state, now)
+    if _is_due(state, now):
+        effects += _beat(state, now)
+    return effects
 
 
 def receive(state: NodeState, event: PeerArrived) -> list[Effect]:
@@ -49,6 +47,13 @@
     return _receive_beat(state, message, event.now)
 
 
+def _is_due(state: NodeState, now: float) -> bool:
+    since = now - state.beaten_at
+    if state.beat_due or since >= IDLE_PERIOD_S:
+        return True
+    return state.occupancy.changed and since >= BUSY_PERIOD_S
+
+
 def _receive_beat(state: NodeState, beat: Beat, now: float) -> list[Effect]:
     name = beat.sender.name
     if name == state.config.name:
@@ -77,8 +82,9 @@
         state.beaten_at = now
         return []
     payload = _build(state, now)
+    size = len(payload) * len(targets)
     urgent = state.beat_due or now - state.beaten_at >= IDLE_PERIOD_S
-    if not urgent and not state.budget.take(now, len(payload) * len(targets)):
+    if not (state.budget.take(now, size) or urgent):
         return []
     state.beaten_at = now
     state.beat_due = False
--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -37,6 +37,10 @@
     removed_at: float | None = None
     usable_until: float = 0
 
+    def is_gone(self, now: float) -> bool:
+        """Tell whether new flows must not go to the backend any more."""
+        return self.removed_at is not None and now >= self.usable_until
+
     def is_live(self) -> bool:
         """Tell whether the backend is registered."""
         return self.removed_at is None and self.backend is not None
@@ -51,8 +55,8 @@
         '_by_tag',
         'configuration',
         'configuration_revision',
-        'revision',
         'forgotten',
+        'revision',
         'routes',
     )
 
@@ -207,18 +211,21 @@
             if (other.backend.ip, other.backend.port) == (taken.ip, taken.port):
                 other.usable_until = 0
 
+    def _takes_flows(self, entry: Entry, backend: Backend) -> bool:
+        """Tell whether new flows may go there, but for the end of a grace.
+
+        Of two backends with one tag only one may get new flows.
+        """
+        if backend.draining or self._by_tag.get(backend.tag) is not entry:
+            return False
+        return entry.removed_at is None or entry.usable_until > 0
+
     def _build_index(self) -> dict[str, tuple[Entry, ...]]:
         index: dict[str, list[Entry]] = {}
         for entry in self._by_name.values():
             backend = entry.backend
-            if backend is None or backend.draining:
-                continue
-            if entry.removed_at is not None and not entry.usable_until:
-                continue
-            if self._by_tag.get(backend.tag) is not entry:
-                # Two backends with one tag: only one may get new flows.
-                continue
-            index.setdefault(backend.service, []).append(entry)
+            if backend is not None and self._takes_flows(entry, backend):
+                index.setdefault(backend.service, []).append(entry)
         return {service: tuple(found) for service, found in index.items()}
 
 
--- a/apricottally/tagged/choice.py
+++ b/apricottally/tagged/choice.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import zlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from apricottally.tagged.catalog import Entry
 from apricottally.tagged.records import Backend, Route
@@ -21,6 +21,9 @@
 # Parts of a weighted route, in shares of its total weight.
 _HASH_RANGE = 1 << 32
 
+# Doubt, work, and a random number for equal work; the lowest is best.
+_Rank: TypeAlias = tuple[int, float, float]
+
 
 def choose(
     state: NodeState,
@@ -63,30 +66,35 @@
     now: float,
     tried: tuple[int, ...],
 ) -> Entry | None:
-    best: Entry | None = None
-    best_rank: tuple[int, float, float] | None = None
+    ranked: list[tuple[_Rank, Entry]] = []
     for entry in state.catalog.list_service(service):
         backend = entry.backend
-        if backend is None or _is_gone(entry, now):
+        if backend is None or entry.is_gone(now):
             continue
         busy = state.occupancy.busy(backend.tag)
         if busy >= backend.slots + QUEUE_LENGTH:
             continue
-        doubt = 0
-        if state.suspicion.is_doubted(backend.tag, backend.zone, now):
-            doubt = 1
-        if backend.tag in tried:
-            doubt = 2
+        doubt = _grade_doubt(state, backend, now, tried)
         score = _score(state, entry, backend, busy, now)
         rank = (doubt, score, state.rng.random())
-        if best_rank is None or rank < best_rank:
-            best = entry
-            best_rank = rank
-    return best
+        ranked.append((rank, entry))
+    return min(ranked, key=_get_rank)[1] if ranked else None
+
 
+def _get_rank(ranked: tuple[_Rank, Entry]) -> _Rank:
+    return ranked[0]
 
-def _is_gone(entry: Entry, now: float) -> bool:
-    return entry.removed_at is not None and now >= entry.usable_until
+
+def _grade_doubt(
+    state: NodeState,
+    backend: Backend,
+    now: float,
+    tried: tuple[int, ...],
+) -> int:
+    """Return 0 for a backend without doubt, more for one to avoid."""
+    if backend.tag in tried:
+        return 2
+    return int(state.suspicion.is_doubted(backend.tag, backend.zone, now))
 
 
 def _score(
--- a/apricottally/tagged/effects.py
+++ b/apricottally/tagged/effects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
@@ -50,11 +51,6 @@
     wait_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class StopReading:
-    """End the list or watch in progress."""
-
-
 @dataclass(frozen=True, slots=True)
 class PullSnapshot:
     """Read all records from a neighbour."""
@@ -75,7 +71,7 @@
     """Write a structured log record."""
 
     event: str
-    fields: dict[str, LogValue] = field(default_factory=dict)
+    fields: Mapping[str, LogValue] = field(default_factory=dict)
 
 
 Effect: TypeAlias = (
@@ -84,7 +80,6 @@
     | SendPeer
     | ListRecords
     | WatchRecords
-    | StopReading
     | PullSnapshot
     | ProbeBackend
     | WriteLog
--- a/apricottally/tagged/flows.py
+++ b/apricottally/tagged/flows.py
@@ -13,7 +13,7 @@
 from apricottally.tagged.catalog import Entry
 from apricottally.tagged.occupancy import Occupancy
 from apricottally.tagged.packets import FlowPacket
-from apricottally.tagged.records import Route
+from apricottally.tagged.records import Repetition, Route
 
 MAX_FLOWS = 100_000
 # A request without any packet for so long is no longer counted: its client
@@ -135,6 +135,16 @@
         flow.syn = None
         self.occupancy.add_open(flow.tag, -1)
 
+    def list_repeatable(self, tag: int) -> list[Flow]:
+        """Return a backend's flows with a request that may be repeated."""
+        return [
+            flow
+            for flow in self.by_key.values()
+            if flow.tag == tag
+            and flow.last is not None
+            and flow.route.repetition is Repetition.idempotent
+        ]
+
     def purge(self, now: float, idle_s: float) -> None:
         """Drop closed and idle flows, and requests that went silent."""
         old = []
--- a/apricottally/tagged/linelog.py
+++ b/apricottally/tagged/linelog.py
@@ -54,27 +54,32 @@
 
     def flush(self, now: float) -> None:
         """Write what the reader takes; report what was left out."""
-        if self._dropped and now - self._reported_at >= REPORT_PERIOD_S:
+        self._write_pending()
+        if self._pending or not self._dropped:
+            return
+        if now - self._reported_at >= REPORT_PERIOD_S:
             self._reported_at = now
             counts = dict(self._dropped)
             self._dropped.clear()
             self._queue('suppressed', counts)
-        pending = self._pending
-        while pending:
-            chunk = b''.join(pending)
-            pending.clear()
-            self._pending_bytes = 0
-            try:
-                written = os.write(self._descriptor, chunk)
-            except BlockingIOError:
-                written = 0
-            except OSError:
-                # The reader is gone for good; lines have nowhere to go.
-                return
-            if written < len(chunk):
-                pending.append(chunk[written:])
-                self._pending_bytes = len(chunk) - written
-                return
+            self._write_pending()
+
+    def _write_pending(self) -> None:
+        if not self._pending:
+            return
+        chunk = b''.join(self._pending)
+        self._pending.clear()
+        self._pending_bytes = 0
+        try:
+            written = os.write(self._descriptor, chunk)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # The reader is gone for good; lines have nowhere to go.
+            return
+        if written < len(chunk):
+            self._pending.append(chunk[written:])
+            self._pending_bytes = len(chunk) - written
 
     def _queue(self, event: str, fields: Mapping[str, LogValue]) -> None:
         line = {
--- a/apricottally/tagged/neighbours.py
+++ b/apricottally/tagged/neighbours.py
@@ -16,6 +16,8 @@
 
 # A node that has not been heard for longer counts as gone.
 ALIVE_S = 1.2
+# The same for a node that only others hear.
+VOUCHED_S = 3.0
 # A node that was never heard, or went silent, is tried again for so long.
 FORGET_S = 30.0
 CONTACT_PERIOD_S = 1.0
@@ -31,10 +33,14 @@
 
 @dataclass(slots=True)
 class Neighbour:
-    """What is known of one node; `added_at` is when it was last vouched for."""
+    """What is known of one node.
+
+    `heard_at` is when it last spoke itself, `vouched_at` when another node
+    last said that it had heard it.
+    """
 
     peer: Peer
-    added_at: float
+    vouched_at: float
     heard_at: float = _LONG_AGO
     sequence: int = 0
     leaving: bool = False
@@ -68,7 +74,7 @@
             self.by_name[sender.name] = held
             fresh = True
         held.heard_at = now
-        held.added_at = now
+        held.vouched_at = now
         if beat.sequence > held.sequence:
             held.sequence = beat.sequence
             held.leaving = beat.leaving
@@ -77,7 +83,9 @@
             self._vouch(peer, now)
         return held, fresh
 
-    def list_alive(self, now: float, zone: str | None = None) -> list[Neighbour]:
+    def list_alive(
+        self, now: float, zone: str | None = None
+    ) -> list[Neighbour]:
         """Return the nodes heard lately, of one zone or of all."""
         return [
             held
@@ -86,12 +94,27 @@
             and (zone is None or held.peer.zone == zone)
         ]
 
+    def list_members(self, now: float, zone: str) -> list[Neighbour]:
+        """Return the nodes of a zone that take part.
+
+        Where every node of the zone speaks to every other one, these are the
+        nodes heard; in a larger zone also those that others hear.
+        """
+        vouched = [
+            held
+            for held in self.by_name.values()
+            if held.peer.zone == zone and now - held.vouched_at < VOUCHED_S
+        ]
+        if len(vouched) > ZONE_MESH_NODES:
+            return vouched
+        return [held for held in vouched if now - held.heard_at < ALIVE_S]
+
     def list_targets(self, now: float, rng: random.Random) -> list[Neighbour]:
         """Return the nodes that get this node's beats and changes."""
         alive = self.list_alive(now)
         if len(alive) < MESH_NODES:
             return alive
-        near = [held for held in alive if held.peer.zone == self.own.zone]
+        near = self.list_members(now, self.own.zone)
         if len(near) > ZONE_MESH_NODES:
             near = self._follow_ring(near)
         others = [held for held in alive if held.peer.zone != self.own.zone]
@@ -103,9 +126,9 @@
         own_key = _order(self.own.name)
         return sum(
             1
-            for held in self.list_alive(now, self.own.zone)
+            for held in self.list_members(now, self.own.zone)
             if not held.leaving
-            and held.revision
+            and (held.revision or held.heard_at == _LONG_AGO)
             and _order(held.peer.name) < own_key
         )
 
@@ -138,15 +161,18 @@
     def _vouch(self, peer: Peer, now: float) -> None:
         if peer.name == self.own.name:
             return
-        if peer.name not in self.by_name:
+        held = self.by_name.get(peer.name)
+        if held is None:
             self.by_name[peer.name] = Neighbour(peer, now)
             self.contacted_at = _LONG_AGO
+        else:
+            held.vouched_at = now
 
     def _forget(self, now: float) -> None:
         old = [
             name
             for name, held in self.by_name.items()
-            if now - held.added_at > FORGET_S
+            if now - held.vouched_at > FORGET_S
         ]
         for name in old:
             self.by_name.pop(name)
--- a/apricottally/tagged/node.py
+++ b/apricottally/tagged/node.py
@@ -4,54 +4,25 @@
 
 import asyncio
 import traceback
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 from apricottally.addresses import Endpoint
-from apricottally.effects import Exit
-from apricottally.errors import (
-    CompactedError,
-    InvariantError,
-    PlatformError,
-    PullError,
-)
+from apricottally.effects import Exit, LogValue
+from apricottally.errors import InvariantError
 from apricottally.sockets import DatagramSocket, open_datagram_socket
 from apricottally.tagged import effects, events, spread
+from apricottally.tagged.calls import Calls, Platform
 from apricottally.tagged.linelog import LineLog
 from apricottally.tagged.messages import Snapshot
 from apricottally.tagged.packets import FlowPacket
-from apricottally.tagged.pulls import open_pull_server, pull
-from apricottally.tagged.records import Backend, Change
+from apricottally.tagged.pulls import open_pull_server
+from apricottally.tagged.records import Backend
 from apricottally.tagged.reducer import reduce
 from apricottally.tagged.state import NodeState
 
 TICK_S = 0.01
-# A probe makes two connections at a time, since a packet may be lost.
-PROBE_TIMEOUT_S = 0.2
-PROBE_CONNECTIONS = 2
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """Records of the platform, and the revision up to which they are whole."""
-
-    revision: int
-    changes: tuple[Change, ...]
-
-
-class Platform(Protocol):
-    """What a node needs of the platform's store.
-
-    Both calls raise `PlatformError`, `watch` also `CompactedError`.
-    """
-
-    async def list_records(self) -> Listing:
-        """Return all records."""
-
-    async def watch(self, after: int, wait_s: float) -> Listing:
-        """Return changes after a revision as soon as there is one."""
 
 
 class PacketCodec(Protocol):
@@ -85,20 +56,19 @@
         self.state = state
         self.loop = asyncio.get_running_loop()
         self.exited: asyncio.Future[int] = self.loop.create_future()
-        self._platform = platform
+        self._calls = Calls(state, platform, self.submit)
         self._codec = codec
         self._log = log
         self._packets: DatagramSocket | None = None
         self._peers: DatagramSocket | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
         self._actions: dict[type, Callable[[Any], object]] = {
             effects.Forward: self._forward,
             effects.Reset: self._reset,
             effects.SendPeer: self._send_peer,
-            effects.ListRecords: self._list,
-            effects.WatchRecords: self._watch,
-            effects.PullSnapshot: self._pull,
-            effects.ProbeBackend: self._probe,
+            effects.ListRecords: self._calls.list_records,
+            effects.WatchRecords: self._calls.watch_records,
+            effects.PullSnapshot: self._calls.pull_snapshot,
+            effects.ProbeBackend: self._calls.probe_backend,
             effects.WriteLog: self._write_log,
             Exit: self._exit,
         }
@@ -153,7 +123,7 @@
         """Ask for a graceful shutdown; a second time, end at once."""
         self.submit(events.ShutdownRequested(self.loop.time()))
 
-    def log(self, event: str, fields: dict[str, effects.LogValue]) -> None:
+    def log(self, event: str, fields: Mapping[str, LogValue]) -> None:
         """Write a structured log line."""
         self._log.write(self.loop.time(), event, fields)
 
@@ -163,8 +133,7 @@
 
     def close(self) -> None:
         """End calls in progress and write the last lines."""
-        for task in self._tasks:
-            task.cancel()
+        self._calls.close()
         self._log.flush(self.loop.time())
 
     def _report(self, event: events.Event) -> None:
@@ -191,18 +160,6 @@
             for dest in effect.dests:
                 self._peers.send(effect.payload, dest)
 
-    def _list(self, effect: effects.ListRecords) -> None:
-        self._run(self._read_list())
-
-    def _watch(self, effect: effects.WatchRecords) -> None:
-        self._run(self._read_changes(effect))
-
-    def _pull(self, effect: effects.PullSnapshot) -> None:
-        self._run(self._read_snapshot(effect))
-
-    def _probe(self, effect: effects.ProbeBackend) -> None:
-        self._run(self._probe_backend(effect.backend))
-
     def _write_log(self, effect: effects.WriteLog) -> None:
         self._log.write(self.loop.time(), effect.event, effect.fields)
 
@@ -210,77 +167,6 @@
         if not self.exited.done():
             self.exited.set_result(effect.status)
 
-    def _run(self, work: Coroutine[Any, Any, None]) -> None:
-        task = self.loop.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _read_list(self) -> None:
-        asked_at = self.loop.time()
-        try:
-            listing = await self._platform.list_records()
-        except PlatformError as error:
-            self._fail_read(error)
-            return
-        self.submit(
-            events.RecordsListed(
-                self.loop.time(), asked_at, listing.revision, listing.changes
-            ),
-        )
-
-    async def _read_changes(self, effect: effects.WatchRecords) -> None:
-        asked_at = self.loop.time()
-        try:
-            listing = await self._platform.watch(effect.after, effect.wait_s)
-        except PlatformError as error:
-            self._fail_read(error)
-            return
-        self.submit(
-            events.RecordsChanged(
-                self.loop.time(),
-                asked_at,
-                effect.after,
-                listing.revision,
-                listing.changes,
-            ),
-        )
-
-    async def _read_snapshot(self, effect: effects.PullSnapshot) -> None:
-        asked_at = self.loop.time()
-        snapshot: Snapshot | None = None
-        problem = ''
-        try:
-            snapshot = await pull(effect.endpoint, self.state.catalog.revision)
-        except PullError as error:
-            problem = str(error)
-        self.submit(
-            events.SnapshotPulled(
-                self.loop.time(), asked_at, effect.peer, snapshot, problem
-            ),
-        )
-
-    async def _probe_backend(self, backend: Backend) -> None:
-        asked_at = self.loop.time()
-        tries = [
-            self.loop.create_task(_connect(backend))
-            for _ in range(PROBE_CONNECTIONS)
-        ]
-        reached = False
-        for done in asyncio.as_completed(tries):
-            if await done:
-                reached = True
-                break
-        self.submit(
-            events.ProbeEnded(
-                self.loop.time(), asked_at, backend.tag, reached
-            ),
-        )
-
-    def _fail_read(self, error: PlatformError) -> None:
-        compacted = isinstance(error, CompactedError)
-        reason = 'compacted' if compacted else str(error)
-        self.submit(events.ReadFailed(self.loop.time(), reason, compacted))
-
 
 @asynccontextmanager
 async def open_node(
@@ -313,17 +199,6 @@
         yield
 
 
-async def _connect(backend: Backend) -> bool:
-    """Tell whether a backend takes a connection."""
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(backend.ip, backend.port)
-    except OSError:
-        return False
-    writer.close()
-    return True
-
-
 async def _tick_forever(node: Node) -> None:
     while True:
         node.tick()
--- a/apricottally/tagged/pulls.py
+++ b/apricottally/tagged/pulls.py
@@ -10,7 +10,8 @@
 import struct
 import zlib
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, closing
+from functools import partial
 
 from apricottally.addresses import Endpoint
 from apricottally.errors import PullError, SocketError, WireError
@@ -44,22 +45,8 @@
 
     Raises `SocketError` if the port cannot be opened.
     """
-
-    async def serve(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        try:
-            async with asyncio.timeout(TIMEOUT_S):
-                await _answer(reader, writer, build)
-        except _FAULTS:
-            # An asker that is slow or gone asks another node.
-            return
-        finally:
-            writer.close()
-
     try:
-        server = await asyncio.start_server(serve, *endpoint)
+        server = await asyncio.start_server(partial(_serve, build), *endpoint)
     except OSError as error:
         raise SocketError(endpoint, str(error)) from error
     try:
@@ -70,16 +57,33 @@
 
 async def _exchange(endpoint: Endpoint, after: int) -> Snapshot:
     reader, writer = await asyncio.open_connection(*endpoint)
-    try:
+    with closing(writer):
         writer.write(_REVISION.pack(after))
-        head = await reader.readexactly(_LENGTH.size)
-        length = _LENGTH.unpack(head)[0]
-        if length > MAX_SNAPSHOT_BYTES:
-            raise WireError('oversized_snapshot')
-        packed = await reader.readexactly(length)
+        packed = await _read_packed(reader)
+    return decode_snapshot(zlib.decompress(packed))
+
+
+async def _read_packed(reader: asyncio.StreamReader) -> bytes:
+    head = await reader.readexactly(_LENGTH.size)
+    length = _LENGTH.unpack(head)[0]
+    if length > MAX_SNAPSHOT_BYTES:
+        raise WireError('oversized_snapshot')
+    return await reader.readexactly(length)
+
+
+async def _serve(
+    build: BuildSnapshot,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            await _answer(reader, writer, build)
+    except _FAULTS:
+        # An asker that is slow or gone asks another node.
+        return
     finally:
         writer.close()
-    return decode_snapshot(zlib.decompress(packed))
 
 
 async def _answer(
--- a/apricottally/tagged/readiness.py
+++ b/apricottally/tagged/readiness.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 
 from apricottally.addresses import Endpoint
 from apricottally.errors import SocketError
@@ -37,19 +38,7 @@
 
     Raises `SocketError` if the port cannot be opened.
     """
-
-    async def serve(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        try:
-            await _serve_requests(reader, writer, handlers)
-        except _FAULTS:
-            # A caller that is slow, gone or malformed gets no answer.
-            return
-        finally:
-            writer.close()
-
+    serve = partial(_serve, handlers)
     try:
         server = await asyncio.start_server(
             serve, *endpoint, limit=MAX_HEAD_BYTES
@@ -62,6 +51,20 @@
         server.close()
 
 
+async def _serve(
+    handlers: Mapping[str, Handle],
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    try:
+        await _serve_requests(reader, writer, handlers)
+    except _FAULTS:
+        # A caller that is slow, gone or malformed gets no answer.
+        return
+    finally:
+        writer.close()
+
+
 async def _serve_requests(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
--- a/apricottally/tagged/reading.py
+++ b/apricottally/tagged/reading.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from apricottally.effects import LogValue
 from apricottally.tagged import spread
 from apricottally.tagged.effects import (
     Effect,
@@ -107,7 +108,7 @@
     reading.phase = Phase.waiting
     if reading.failures > 1:
         return []
-    fields = {
+    fields: dict[str, LogValue] = {
         'reason': event.reason,
         'age_ms': state.freshness.age_ms(event.now),
         'revision': state.catalog.revision,
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -10,7 +10,14 @@
 from typing import Any
 
 from apricottally.effects import Exit
-from apricottally.tagged import beating, reading, spread, steering
+from apricottally.tagged import (
+    beating,
+    probing,
+    reading,
+    retrying,
+    spread,
+    steering,
+)
 from apricottally.tagged.effects import Effect, WriteLog
 from apricottally.tagged.events import (
     Event,
@@ -44,8 +51,8 @@
     if gap > PAUSE_S:
         effects += _resume(state, gap)
     else:
-        effects += steering.retry_unanswered(state, now)
-        effects += steering.probe_silent(state, now)
+        effects += retrying.retry_unanswered(state, now)
+        effects += probing.probe_silent(state, now)
     if now - state.purged_at >= PURGE_PERIOD_S:
         state.purged_at = now
         _purge(state, now)
@@ -103,7 +110,7 @@
     RecordsListed: reading.receive_list,
     RecordsChanged: reading.receive_changes,
     ReadFailed: reading.receive_failure,
-    ProbeEnded: steering.end_probe,
+    ProbeEnded: probing.end_probe,
     SnapshotPulled: spread.take_snapshot,
     ShutdownRequested: _request_shutdown,
 }
--- a/apricottally/tagged/suspicion.py
+++ b/apricottally/tagged/suspicion.py
@@ -5,8 +5,9 @@
 without an answer counts against the backend, and a request without progress
 asks for a probe, a TCP connection to the backend: an overloaded backend is
 late with its answers, but takes connections. Only a backend that fails a
-probe is dark; any proof clears it. The nodes of a zone tell each other which backends are dark; nodes
-of other zones may see a backend over another path, so their word is unused.
+probe is dark; any proof clears it. The nodes of a zone tell each other which
+backends are dark; nodes of other zones may see a backend over another path,
+so their word is unused.
 """
 
 from __future__ import annotations
@@ -74,7 +75,7 @@
     ) -> bool:
         """Count a packet without answer; tell whether it counts."""
         health = self._find(tag)
-        if sent_at <= health.proved_at:
+        if sent_at < health.proved_at:
             return False
         health.misses[key] = now
         step = min(len(health.misses), len(DOUBT_S)) - 1
@@ -87,7 +88,7 @@
         None is due if the backend has proved itself since a time.
         """
         health = self._find(tag)
-        if health.proved_at >= since:
+        if health.proved_at > since:
             return False
         if now - health.probed_at < PROBE_PERIOD_S:
             return False
@@ -97,7 +98,7 @@
     def note_unreached(self, tag: int, asked_at: float, now: float) -> bool:
         """Take a failed probe; tell whether the backend is dark by it."""
         health = self._find(tag)
-        if health.proved_at >= asked_at:
+        if health.proved_at > asked_at:
             return False
         health.dark_until = now + DARK_S
         health.doubted_until = max(health.doubted_until, now + DOUBT_S[-1])
--- /dev/null
+++ b/tests/fleetstore.py
@@ -0,0 +1,156 @@
+"""A stand-in for the users' store: lists and watches over HTTP/1.1."""
+
+import asyncio
+import base64
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+PAGE_ITEMS = 3
+
+
+@dataclass
+class Item:
+    key: str
+    value: bytes | None
+    rev: int
+
+    def show(self) -> dict:
+        if self.value is None:
+            return {'key': self.key, 'rev': self.rev, 'deleted': True}
+        return {
+            'key': self.key,
+            'value': base64.b64encode(self.value).decode(),
+            'rev': self.rev,
+            'created': self.rev,
+            'lease': 0,
+        }
+
+
+@dataclass
+class FleetStore:
+    """Holds items; `mode` is how calls are answered.
+
+    Modes: `good`, a status code as text, `silent`, `reset`, `garbage`,
+    `no_such_history`.
+    """
+
+    items: dict[str, Item] = field(default_factory=dict)
+    history: list[Item] = field(default_factory=list)
+    revision: int = 5
+    mode: str = 'good'
+    calls: list[str] = field(default_factory=list)
+    endpoint: tuple[str, int] = ('', 0)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, key: str, value: bytes | dict | None) -> None:
+        if isinstance(value, dict):
+            value = json.dumps(value).encode()
+        self.revision += 1
+        item = Item(key, value, self.revision)
+        self.history.append(item)
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = item
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def put_server(self, name: str, **changes) -> None:
+        known = {
+            'service': 'core',
+            'address': '127.0.0.1:9',
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 2,
+            'state': 'ready',
+            'cold-left-ms': 0,
+            'seq-no': 1,
+            'born': 17,
+        }
+        self.put(f'servers/{name}', known | changes)
+
+    def put_config(self, version: int, routes: list[dict]) -> None:
+        self.put(
+            'op/config',
+            {
+                'version': version,
+                'routes': routes,
+                'services': [],
+                'limits': {'idle-timeout-ms': 15000},
+            },
+        )
+
+    async def answer(self, target: str) -> tuple[int, bytes]:
+        self.calls.append(target)
+        if self.mode.isdigit():
+            return int(self.mode), b'{}'
+        if self.mode == 'garbage':
+            return 200, b'{"at": "x"}'
+        parts = urlsplit(target)
+        query = {
+            name: found[0] for name, found in parse_qs(parts.query).items()
+        }
+        if parts.path == '/api/kv-range':
+            return 200, self._list(query)
+        return await self._watch(query)
+
+    def _list(self, query: dict[str, str]) -> bytes:
+        keys = sorted(key for key in self.items if key > query.get('after', ''))
+        page = [self.items[key].show() for key in keys[:PAGE_ITEMS]]
+        return json.dumps(
+            {
+                'items': page,
+                'truncated': len(keys) > PAGE_ITEMS,
+                'at': self.revision,
+            }
+        ).encode()
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, bytes]:
+        if self.mode == 'no_such_history':
+            return 410, b'{}'
+        after = int(query['after'])
+        wait_s = int(query['wait-ms']) / 1000
+        if self.revision <= after:
+            changed = self.changed
+            try:
+                async with asyncio.timeout(wait_s):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        found = [item.show() for item in self.history if item.rev > after]
+        body = {'events': found, 'at': self.revision}
+        return 200, json.dumps(body).encode()
+
+    async def serve(self, reader, writer) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                target = head.split(b' ')[1].decode()
+                if self.mode == 'silent':
+                    await asyncio.sleep(60)
+                if self.mode == 'reset':
+                    return
+                status, body = await self.answer(target)
+                writer.write(
+                    b'HTTP/1.1 %d X\r\nContent-Type: application/json\r\n'
+                    b'Content-Length: %d\r\n\r\n%s' % (status, len(body), body)
+                )
+                await writer.drain()
+        except (OSError, EOFError):
+            return
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def open_fleet_store() -> AsyncIterator[FleetStore]:
+    store = FleetStore()
+    server = await asyncio.start_server(store.serve, '127.0.0.1', 0)
+    store.endpoint = server.sockets[0].getsockname()
+    try:
+        yield store
+    finally:
+        server.close()
--- /dev/null
+++ b/tests/taggednode.py
@@ -0,0 +1,175 @@
+"""A node of tagged flows under test: records, clients' packets and time."""
+
+import itertools
+import random
+
+from apricottally.tagged import effects, events, packets
+from apricottally.tagged.packets import FlowPacket
+from apricottally.tagged.records import (
+    Backend,
+    BackendChange,
+    Configuration,
+    ConfigurationChange,
+    Repetition,
+    Route,
+    Target,
+)
+from apricottally.tagged.reducer import reduce
+from apricottally.tagged.state import NodeConfig, NodeState
+
+ADDRESS = 0xC6120001
+FEED_PORT = 8443
+ORDER_PORT = 8080
+CLIENT = 0x64400007
+TICK_S = 0.01
+
+
+def build_backend(index: int, **changes) -> Backend:
+    known = {
+        'name': f'i-{index:08x}',
+        'number': index,
+        'tag': index,
+        'service': 'core',
+        'ip': '10.2.0.1',
+        'port': 8000 + index,
+        'zone': 'a',
+        'slots': 2,
+        'draining': False,
+        'cold_ms': 0,
+        'born_ms': 1,
+    }
+    return Backend(**(known | changes))
+
+
+def build_route(port: int, repetition: Repetition, **changes) -> Route:
+    known = {
+        'name': f'route-{port}',
+        'address': ADDRESS,
+        'port': port,
+        'targets': (Target('core', 1),),
+        'repetition': repetition,
+        'priority': 1,
+        'timeout_ms': 1500,
+        'latency_ms': 150,
+    }
+    return Route(**(known | changes))
+
+
+def build_configuration(
+    version: int = 1,
+    extra: tuple[Route, ...] = (),
+) -> Configuration:
+    routes = (
+        build_route(FEED_PORT, Repetition.idempotent),
+        build_route(ORDER_PORT, Repetition.once),
+        *extra,
+    )
+    return Configuration(version, routes, 15_000)
+
+
+class TaggedNode:
+    """Feeds a reducer and keeps the effects of the last event."""
+
+    def __init__(self, backends=3, name='n1', zone='a', **config) -> None:
+        self.now = 100.0
+        settings = NodeConfig(
+            name,
+            zone,
+            '10.1.0.1',
+            7720,
+            strict=True,
+            **config,
+        )
+        self.state = NodeState(settings, random.Random(1), self.now)
+        self.sequence = itertools.count(1)
+        self.effects: list[effects.Effect] = []
+        if backends:
+            self.list_records(
+                10, [build_backend(index + 1) for index in range(backends)]
+            )
+
+    def submit(self, event: events.Event) -> list[effects.Effect]:
+        self.effects = reduce(self.state, event)
+        return self.effects
+
+    def list_records(self, revision, backends, configuration=None) -> None:
+        changes = [
+            BackendChange(backend.name, revision, backend)
+            for backend in backends
+        ]
+        changes.append(
+            ConfigurationChange(
+                revision, configuration or build_configuration()
+            )
+        )
+        self.submit(
+            events.RecordsListed(self.now, self.now, revision, tuple(changes))
+        )
+
+    def change(self, revision: int, *changes) -> list[effects.Effect]:
+        after = self.state.catalog.revision
+        return self.submit(
+            events.RecordsChanged(
+                self.now, self.now, after, revision, tuple(changes)
+            )
+        )
+
+    def run(self, seconds: float) -> list[effects.Effect]:
+        """Let time pass; return the effects of all ticks."""
+        found: list[effects.Effect] = []
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            found += self.submit(events.Ticked(self.now))
+        return found
+
+    def confirm(self) -> None:
+        """Let the platform confirm that the records are the newest."""
+        self.state.freshness.confirm(self.now, self.now)
+
+    def send(self, client_port: int, flags: int, **fields):
+        port = fields.pop('port', FEED_PORT)
+        known = {
+            'key': client_port.to_bytes(4, 'big') + port.to_bytes(2, 'big'),
+            'client': CLIENT,
+            'client_port': client_port,
+            'address': ADDRESS,
+            'port': port,
+            'flags': flags,
+            'sequence': 0,
+            'acknowledged': 0,
+            'length': 0,
+            'tag': 0,
+            'raw': b'',
+        }
+        packet = FlowPacket(**(known | fields))
+        return self.submit(events.PacketArrived(self.now, packet))
+
+    def open_flow(self, client_port: int, **fields) -> int:
+        """Open a flow at the backend chosen; return its tag."""
+        first = fields.pop('sequence', 1000)
+        self.send(client_port, packets.SYN, sequence=first, **fields)
+        tag = self.forwarded()[0].backend.tag
+        self.send(
+            client_port,
+            packets.ACK,
+            sequence=first + 1,
+            acknowledged=501,
+            tag=tag,
+            **fields,
+        )
+        return tag
+
+    def request(self, client_port: int, tag: int, **fields) -> None:
+        """Send a request of 100 bytes on an open flow."""
+        known = {'sequence': 1001, 'acknowledged': 501, 'length': 100}
+        self.send(client_port, packets.ACK, tag=tag, **(known | fields))
+
+    def forwarded(self) -> list[effects.Forward]:
+        return self.pick(effects.Forward)
+
+    def pick(self, kind, found=None):
+        return [
+            effect
+            for effect in (self.effects if found is None else found)
+            if isinstance(effect, kind)
+        ]
--- /dev/null
+++ b/tests/test_fleetnode.py
@@ -0,0 +1,290 @@
+"""The adapter to the users' platform: packets, records, store, settings."""
+
+import base64
+import json
+
+import pytest
+from fleetnode import records, settings
+from fleetnode.packets import Codec
+from fleetnode.store import Store
+from hypothesis import given
+from hypothesis import strategies as st
+
+from apricottally.errors import CompactedError, PlatformError
+from apricottally.tagged import packets
+from apricottally.tagged.records import (
+    BackendChange,
+    ConfigurationChange,
+    Repetition,
+)
+from tests.asyncruns import run
+from tests.fleetstore import open_fleet_store
+from tests.taggednode import build_backend
+
+SYN = bytes.fromhex(
+    '02 64400007 c6120001 01bb 9c41 a1b2c3d5 0000 11223344 00000000 00000000'
+)
+RESET = bytes.fromhex(
+    '04 c6120001 64400007 9c41 01bb 00000000 0000 00000000 00000000 00000000'
+)
+SERVER = {
+    'service': 'core',
+    'address': '10.2.0.9:8080',
+    'zone': 'a',
+    'slots': 2,
+    'state': 'ready',
+    'cold-left-ms': 0,
+    'seq-no': 4,
+}
+
+
+def encode(value) -> str:
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+def test_example_packet() -> None:
+    """Guards against fields read at the wrong offset."""
+    packet = Codec(4000).parse(SYN)
+    assert packet is not None
+    assert packet.flags == packets.SYN
+    assert (packet.client, packet.client_port) == (0x64400007, 40001)
+    assert (packet.address, packet.port) == (0xC6120001, 443)
+    assert packet.sequence == 0x11223344
+
+
+def test_example_reset() -> None:
+    """Guards against a reset that the client does not take."""
+    codec = Codec(4000)
+    packet = codec.parse(SYN)
+    assert packet is not None
+    assert codec.build_reset(packet) == (RESET, ('100.64.0.7', 4000))
+
+
+@pytest.mark.parametrize('tag', [None, 0xA0B0C0D0])
+def test_packet_to_backend(tag) -> None:
+    """Guards against any change of a packet but its tag."""
+    backend = build_backend(7, number=0x1122334455)
+    sent = Codec(1).address_to_backend(backend, SYN + b'data', tag)
+    assert sent[:8] == bytes.fromhex('0000001122334455')
+    expected = b'\0\0\0\0' if tag is None else bytes.fromhex('a0b0c0d0')
+    assert sent[8:] == SYN[:27] + expected + b'data'
+
+
+@given(st.binary(max_size=80))
+def test_any_bytes_as_packet(payload) -> None:
+    """Guards against a node that ends on bytes from the network."""
+    packet = Codec(1).parse(payload)
+    assert packet is None or len(payload) == 31 + packet.length
+
+
+@pytest.mark.parametrize(
+    ('name', 'number'),
+    [
+        ('i-7f3a91c2', 0x7F3A91C2),
+        ('i-10ea2c1510', 0x10EA2C1510),
+        ('i-ffffffffffffffff', 2**64 - 1),
+    ],
+)
+def test_number_of_backend(name, number) -> None:
+    """Guards against packets that name another backend."""
+    assert records.number_of(name) == number
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'asleep'},
+        {'state': 5},
+        {'slots': 0},
+        {'slots': 'two'},
+        {'address': 'nowhere'},
+        {'address': None},
+        {'service': None},
+        {'zone': 7},
+        {'born': 'today'},
+    ],
+)
+def test_malformed_record_names_no_backend(changes) -> None:
+    """Guards against records of another writer that stop or mislead a node."""
+    item = records.Item('servers/i-00000009', 8, encode(SERVER | changes))
+    assert records.decode_item(item) == BackendChange('i-00000009', 8, None)
+
+
+@given(st.binary(max_size=60), st.text(max_size=12))
+def test_any_bytes_as_record(value, name) -> None:
+    """Guards against a node that ends on bytes in the store."""
+    text = base64.b64encode(value).decode()
+    for key in (f'servers/{name}', 'op/config', name):
+        change = records.decode_item(records.Item(key, 8, text))
+        assert change is None or getattr(change, 'backend', None) is None
+
+
+def test_record_of_backend() -> None:
+    """Guards against fields of a backend that are mixed up."""
+    value = SERVER | {'state': 'draining', 'born': 17, 'cold-left-ms': 900}
+    change = records.decode_item(
+        records.Item('servers/i-00000009', 8, encode(value))
+    )
+    assert isinstance(change, BackendChange)
+    backend = change.backend
+    assert backend is not None
+    assert (backend.number, backend.tag) == (9, 9)
+    assert (backend.ip, backend.port) == ('10.2.0.9', 8080)
+    assert backend.draining
+    assert (backend.cold_ms, backend.born_ms) == (900, 17)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'repetition'),
+    [
+        ('safe', Repetition.idempotent),
+        ('download', Repetition.idempotent),
+        ('unsafe', Repetition.once),
+    ],
+)
+def test_configuration(kind, repetition) -> None:
+    """Guards against routes that are read wrong."""
+    route = {
+        'name': 'r',
+        'host': '198.18.0.1',
+        'prefix': '/8443/',
+        'kind': kind,
+        'timeout-ms': 1500,
+        'target-latency-ms': 150,
+        'priority': 2,
+        'split': [
+            {'service': 'x', 'weight': 90},
+            {'service': 'y', 'weight': 10},
+        ],
+    }
+    config = {'version': 7, 'routes': [route], 'limits': {}}
+    change = records.decode_item(records.Item('op/config', 8, encode(config)))
+    assert isinstance(change, ConfigurationChange)
+    found = change.configuration.routes[0]
+    assert (found.address, found.port) == (0xC6120001, 8443)
+    assert found.repetition is repetition
+    assert [target.weight for target in found.targets] == [90, 10]
+
+
+def test_list_over_pages() -> None:
+    """Guards against a list that ends with its first page."""
+
+    async def scenario() -> None:
+        async with open_fleet_store() as fake:
+            for index in range(1, 9):
+                fake.put_server(f'i-{index:08x}')
+            fake.put_config(3, [])
+            listing = await Store(fake.endpoint).list_records()
+            assert listing.revision == fake.revision
+            assert len(listing.changes) == 9
+            assert len(fake.calls) == 3
+
+    run(scenario())
+
+
+def test_watch_without_changes_keeps_revision() -> None:
+    """Guards against changes lost between two watches."""
+
+    async def scenario() -> None:
+        async with open_fleet_store() as fake:
+            fake.put_server('i-00000001')
+            store = Store(fake.endpoint)
+            fake.revision += 3
+            listing = await store.watch(fake.revision, 0.05)
+            assert (listing.revision, listing.changes) == (fake.revision, ())
+            fake.put_server('i-00000001', state='draining')
+            listing = await store.watch(6, 1)
+            assert listing.revision == fake.revision
+            fake.put('servers/i-00000001', None)
+            listing = await store.watch(listing.revision, 1)
+            expected = BackendChange('i-00000001', fake.revision, None)
+            assert listing.changes == (expected,)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('mode', 'problem'),
+    [
+        ('503', 'status_503'),
+        ('429', 'status_429'),
+        ('reset', 'connection'),
+        ('silent', 'timeout'),
+        ('garbage', 'malformed'),
+    ],
+)
+def test_failed_call(mode, problem) -> None:
+    """Guards against faults of the store that end a node or hang it."""
+
+    async def scenario() -> None:
+        async with open_fleet_store() as fake:
+            fake.put_server('i-00000001')
+            store = Store(fake.endpoint)
+            await store.list_records()
+            fake.mode = mode
+            with pytest.raises(PlatformError, match=problem):
+                await store.watch(1, 0.05)
+            fake.mode = 'good'
+            assert (await store.list_records()).changes
+
+    run(scenario())
+
+
+def test_dropped_history() -> None:
+    """Guards against a watch that goes on though changes are missing."""
+
+    async def scenario() -> None:
+        async with open_fleet_store() as fake:
+            fake.mode = 'no_such_history'
+            with pytest.raises(CompactedError):
+                await Store(fake.endpoint).watch(1, 0.05)
+
+    run(scenario())
+
+
+SETTINGS = """
+node-name = "front-a-1"
+ip = "127.0.0.1"
+zone = "a"
+internal-port-range = [7720, 7735]
+seeds = ["10.1.0.10:8166"]
+unknown = 5
+[listen]
+datagram-addr = "127.0.0.1:8172"
+ready = "127.0.0.1:8167"
+[bounds]
+config-apply-ms = 3000
+grace-s = 6
+[platform]
+address = "10.200.1.7:8169"
+"""
+
+
+def test_settings(tmp_path, monkeypatch) -> None:
+    """Guards against times that do not follow the deployment's bounds."""
+    path = tmp_path / 'node.toml'
+    path.write_text(SETTINGS)
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    found = settings.load_settings()
+    assert found.node.seeds == (('10.1.0.10', 7720),)
+    assert found.node.stale_s + found.node.watch_wait_s < 3
+    assert found.node.leave_s < 6
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'faults'),
+    [
+        ('zone = "a"', '', 1),
+        ('8167"', '0"', 1),
+        ('"127.0.0.1:8172"', '"x"', 1),
+        ('[bounds]', '[bounds', 1),
+    ],
+)
+def test_faulty_settings(tmp_path, monkeypatch, old, new, faults) -> None:
+    """Guards against a process that starts with settings it cannot use."""
+    path = tmp_path / 'node.toml'
+    path.write_text(SETTINGS.replace(old, new))
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    with pytest.raises(ExceptionGroup) as caught:
+        settings.load_settings()
+    assert len(caught.value.exceptions) == faults
--- /dev/null
+++ b/tests/test_tagged_fleet.py
@@ -0,0 +1,91 @@
+"""Seeded runs of a fleet: every change in force in time, few calls."""
+
+import pytest
+
+from tests.taggedfleet import Fleet
+
+# Time within which a configuration must be in force everywhere.
+BOUND_S = 3.0
+
+
+def check_in_force(fleet: Fleet, version: int) -> None:
+    late = [
+        name
+        for name, state in fleet.nodes.items()
+        if state.version != version and name not in fleet.frozen
+    ]
+    assert not late
+    for state in fleet.nodes.values():
+        assert state.catalog.revision <= fleet.platform.revision
+
+
+def build_fleet(seed: int, nodes: int) -> Fleet:
+    fleet = Fleet(seed, nodes)
+    fleet.platform.put_configuration(1)
+    for index in range(1, 8):
+        fleet.platform.put_backend(index, present=True)
+    fleet.start_all()
+    fleet.run(3)
+    return fleet
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_changes_under_faults(seed) -> None:
+    """Guards against a node that stays behind after kills and refusals."""
+    fleet = build_fleet(seed, 9)
+    version = 1
+    for step in range(5):
+        names = sorted(fleet.nodes)
+        victim = fleet.rng.choice(names)
+        fleet.refused = set(fleet.rng.sample(names, 3))
+        if step % 2:
+            fleet.kill(victim)
+        else:
+            fleet.frozen = {victim}
+        fleet.run(fleet.rng.uniform(0, 1))
+        version += 1
+        fleet.platform.put_configuration(version)
+        fleet.platform.put_backend(step + 1, present=bool(step % 3))
+        if step == 3:
+            fleet.drop_history()
+        fleet.run(BOUND_S)
+        check_in_force(fleet, version)
+        if step % 2:
+            fleet.start(victim)
+        fleet.frozen = set()
+        fleet.run(2)
+        check_in_force(fleet, version)
+
+
+@pytest.mark.parametrize('nodes', [6, 40, 90])
+def test_calls_do_not_grow_with_fleet(nodes) -> None:
+    """Guards against a watch by every node; calls are dear and limited.
+
+    In steady state one node of each zone watches, at about one call a second.
+    """
+    fleet = build_fleet(1, nodes)
+    before = fleet.platform.calls
+    fleet.run(10)
+    assert fleet.platform.calls - before <= 3 * 12
+
+
+@pytest.mark.parametrize('nodes', [40, 90])
+def test_large_fleet_gets_every_change(nodes) -> None:
+    """Guards against zones that hear of a change only when records age."""
+    fleet = build_fleet(2, nodes)
+    fleet.platform.put_configuration(2)
+    fleet.run(1)
+    check_in_force(fleet, 2)
+
+
+def test_everybody_restarts() -> None:
+    """Guards against a fleet that does not find itself again."""
+    fleet = build_fleet(3, 9)
+    for name in list(fleet.nodes):
+        fleet.kill(name)
+    fleet.run(1)
+    fleet.start_all()
+    fleet.run(2)
+    check_in_force(fleet, 1)
+    for state in fleet.nodes.values():
+        assert len(state.neighbours.list_alive(fleet.now)) == 8
--- /dev/null
+++ b/tests/test_tagged_process.py
@@ -0,0 +1,197 @@
+"""The program as a process, its log lines, and pulls between nodes."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from apricottally.errors import PullError
+from apricottally.tagged.linelog import MAX_PENDING_BYTES, LineLog
+from apricottally.tagged.pulls import open_pull_server, pull
+from apricottally.tagged.spread import build_snapshot
+from tests.asyncruns import in_turn, run
+from tests.fleetstore import open_fleet_store
+from tests.taggednode import TaggedNode
+
+ROOT = Path(__file__).resolve().parent.parent
+SYN = bytes.fromhex(
+    '02 7f000001 c6120001 01bb 9c41 a1b2c3d5 0000 11223344 00000000 00000000'
+)
+
+
+def find_ports(count: int) -> list[int]:
+    opened = [socket.socket() for _ in range(count)]
+    for one in opened:
+        one.bind(('127.0.0.1', 0))
+    ports = [one.getsockname()[1] for one in opened]
+    for one in opened:
+        one.close()
+    return ports
+
+
+def write_settings(path: Path, ports: list[int], store: int) -> None:
+    packets, ready, inner = ports
+    path.write_text(
+        f"""
+node-name = "front-a-1"
+ip = "127.0.0.1"
+zone = "a"
+internal-port-range = [{inner}, {inner}]
+[listen]
+datagram-addr = "127.0.0.1:{packets}"
+ready = "127.0.0.1:{ready}"
+[platform]
+address = "127.0.0.1:{store}"
+"""
+    )
+
+
+async def ask_ready(port: int) -> bytes:
+    async for _ in in_turn(range(400)):
+        try:
+            line = await ask_once(port)
+        except OSError:
+            line = b''
+        if b'200' in line:
+            return line
+        await asyncio.sleep(0.02)
+    return b''
+
+
+async def ask_once(port: int) -> bytes:
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(b'GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n')
+    line = await reader.readline()
+    writer.close()
+    return line
+
+
+async def start(settings: Path) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        'platform/main.py',
+        cwd=ROOT,
+        env=os.environ | {'APRICOTTALLY_CONFIG': str(settings)},
+        stdout=asyncio.subprocess.PIPE,
+    )
+
+
+def test_process_serves_and_stops(tmp_path) -> None:
+    """Guards against a program that does not start, reload or stop.
+
+    It becomes ready, sends a first packet to the backend, goes on after
+    SIGHUP, and ends by itself with status 0 after SIGTERM.
+    """
+
+    async def scenario() -> None:
+        backend = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        backend.bind(('127.0.0.1', 0))
+        backend.setblocking(False)
+        ports = find_ports(3)
+        async with open_fleet_store() as fake:
+            port = backend.getsockname()[1]
+            fake.put_server('i-0000000a', address=f'127.0.0.1:{port}')
+            route = {
+                'name': 'r',
+                'host': '198.18.0.1',
+                'prefix': '/443/',
+                'kind': 'safe',
+                'service': 'core',
+            }
+            fake.put_config(1, [route])
+            settings = tmp_path / 'node.toml'
+            write_settings(settings, ports, fake.endpoint[1])
+            process = await start(settings)
+            assert await ask_ready(ports[1])
+            process.send_signal(signal.SIGHUP)
+            backend.sendto(SYN, ('127.0.0.1', ports[0]))
+            received = await asyncio.get_running_loop().sock_recv(backend, 99)
+            assert received[:8] == (10).to_bytes(8, 'big')
+            assert received[-4:] == (10).to_bytes(4, 'big')
+            process.send_signal(signal.SIGTERM)
+            output, _ = await process.communicate()
+            assert process.returncode == 0
+            found = [json.loads(line)['event'] for line in output.splitlines()]
+            for event in ('started', 'reloaded', 'chosen', 'stopping'):
+                assert event in found
+            assert found[-1] == 'stopped'
+        backend.close()
+
+    run(scenario())
+
+
+def test_process_with_faulty_settings(tmp_path) -> None:
+    """Guards against a process that runs with settings it cannot use."""
+
+    async def scenario() -> None:
+        settings = tmp_path / 'node.toml'
+        settings.write_text('node-name = "x"')
+        process = await start(settings)
+        output, _ = await process.communicate()
+        assert process.returncode == 2
+        assert b'ip' in output
+
+    run(scenario())
+
+
+def test_log_with_blocked_reader() -> None:
+    """Guards against a node that waits for the reader of its output."""
+    read_end, write_end = os.pipe()
+    log = LineLog(write_end, 'n1')
+    for step in range(20_000):
+        log.write(float(step), 'chosen', {'flow': 'x' * 100})
+        log.flush(float(step))
+    os.set_blocking(read_end, False)
+    first = os.read(read_end, 1 << 20)
+    assert first
+    rest = b''
+    for step in range(30_000, 30_010):
+        log.flush(float(step))
+        with suppress(BlockingIOError):
+            rest += os.read(read_end, 1 << 20)
+    assert len(first) + len(rest) <= MAX_PENDING_BYTES + (1 << 17)
+    assert b'reader_slow' in rest
+    os.close(read_end)
+    os.close(write_end)
+
+
+def test_log_rate_is_bounded() -> None:
+    """Guards against a flood of lines when a flood of flows comes."""
+    read_end, write_end = os.pipe()
+    log = LineLog(write_end, 'n1')
+    for _ in range(1000):
+        log.write(float(1), 'chosen', {})
+    log.write(float(1), 'refused', {})
+    log.flush(float(20))
+    lines = os.read(read_end, 1 << 20).splitlines()
+    events = [json.loads(line)['event'] for line in lines]
+    assert events.count('chosen') == 200
+    assert events.count('refused') == 1
+    assert json.loads(lines[-1])['rate_chosen'] == 800
+    os.close(read_end)
+    os.close(write_end)
+
+
+def test_pull_between_nodes() -> None:
+    """Guards against records that change on the way between nodes."""
+
+    async def scenario() -> None:
+        source = TaggedNode(3)
+        port = find_ports(1)[0]
+        endpoint = ('127.0.0.1', port)
+
+        def build(after: int):
+            return build_snapshot(source.state, after, source.now)
+
+        async with open_pull_server(endpoint, build):
+            assert await pull(endpoint, 0) == build(0)
+        with pytest.raises(PullError):
+            await pull(endpoint, 0)
+
+    run(scenario())
