--- a/apricottally/tagged/beating.py
+++ b/apricottally/tagged/beating.py
@@ -18,6 +18,8 @@
 # Longest and shortest time between two beats.
 IDLE_PERIOD_S = 0.25
 BUSY_PERIOD_S = 0.02
+# Shortest time between two beats to other zones, whose bytes are dear.
+OTHER_ZONES_PERIOD_S = 0.1
 MAX_LOADS = 100
 
 
@@ -74,10 +76,7 @@
 
 
 def _beat(state: NodeState, now: float) -> list[Effect]:
-    targets: list[Endpoint] = [
-        neighbour.endpoint
-        for neighbour in state.neighbours.list_targets(now, state.rng)
-    ]
+    targets = _list_endpoints(state, now)
     if not targets:
         state.beaten_at = now
         return []
@@ -92,6 +91,18 @@
     return [SendPeer(tuple(targets), payload)]
 
 
+def _list_endpoints(state: NodeState, now: float) -> list[Endpoint]:
+    targets = state.neighbours.list_targets(now, state.rng)
+    if state.beat_due or now - state.beaten_afar_at >= OTHER_ZONES_PERIOD_S:
+        state.beaten_afar_at = now
+        return [neighbour.endpoint for neighbour in targets]
+    return [
+        neighbour.endpoint
+        for neighbour in targets
+        if neighbour.peer.zone == state.config.zone
+    ]
+
+
 def _build(state: NodeState, now: float) -> bytes:
     state.sequence += 1
     beat = Beat(
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -75,6 +75,7 @@
         self.budget = Budget(config.beat_bytes_per_s, config.beat_bytes_per_s)
         self.sequence = 0
         self.beaten_at = now
+        self.beaten_afar_at = now
         self.beat_due = True
         self.behind_since: float | None = None
         self.pulling_since: float | None = None
