Let a backend of another zone cost two requests in progress more

Cause: downloads of 40 kB cross zones without need, and flows at another zone's backend fall silent when the zone is cut off. Change: weight 1 to 2.

--- a/apricottally/tagged/choice.py
+++ b/apricottally/tagged/choice.py
@@ -16,7 +16,7 @@
 # Weights in requests in progress: an open flow, a backend of another zone,
 # and one that is still slow after its start.
 OPEN_FLOW_WEIGHT = 0.05
-OTHER_ZONE_WEIGHT = 1.0
+OTHER_ZONE_WEIGHT = 2.0
 COLD_WEIGHT = 1.0
 # Parts of a weighted route, in shares of its total weight.
 _HASH_RANGE = 1 << 32
