--- /dev/null
+++ b/apricottally/tagged/exposition.py
@@ -0,0 +1,75 @@
+"""The state of a node as metrics in the Prometheus text form.
+
+The library is imported with the first scrape, since a node must start fast.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from apricottally.tagged.readiness import Answer
+
+if TYPE_CHECKING:
+    from aioprometheus.collectors import Registry
+
+    from apricottally.tagged.durations import Histogram
+    from apricottally.tagged.state import NodeState
+
+
+def render(state: NodeState, now: float) -> Answer:
+    """Return all counters, histograms and gauges of a node."""
+    from aioprometheus.collectors import Gauge, Registry
+    from aioprometheus.renderer import render as render_registry
+
+    registry = Registry()
+    _add_counters(state, registry)
+    for name, histogram in _list_histograms(state):
+        gauge = Gauge(
+            f'apricottally_{name}_seconds_bucket',
+            f'Count of {name} up to a duration.',
+            registry=registry,
+        )
+        for bound, total in histogram.list_cumulative():
+            gauge.set({'le': bound}, total)
+    for name, value in _list_gauges(state, now):
+        gauge = Gauge(f'apricottally_{name}', f'{name}.', registry=registry)
+        gauge.set({}, value)
+    body, headers = render_registry(registry, [])
+    return Answer('200 OK', body, headers['Content-Type'])
+
+
+def _add_counters(state: NodeState, registry: Registry) -> None:
+    from aioprometheus.collectors import Counter
+
+    counters: dict[str, Counter] = {}
+    for (name, reason), count in state.counters.counts.items():
+        if name not in counters:
+            counters[name] = Counter(
+                f'apricottally_{name}_total',
+                f'Count of {name} by reason.',
+                registry=registry,
+            )
+        counters[name].set({'reason': reason}, count)
+
+
+def _list_histograms(state: NodeState) -> list[tuple[str, Histogram]]:
+    durations = state.durations
+    return [
+        ('answer', durations.answer),
+        ('platform_call', durations.platform_call),
+        ('in_force', durations.in_force),
+        ('choice_age', durations.choice_age),
+    ]
+
+
+def _list_gauges(state: NodeState, now: float) -> list[tuple[str, float]]:
+    alive = state.neighbours.list_alive(now)
+    return [
+        ('ready', int(state.ready)),
+        ('configuration_version', state.version),
+        ('revision', state.catalog.revision),
+        ('records_age_seconds', state.freshness.age_ms(now) / 1000),
+        ('flows', len(state.flows.by_key)),
+        ('neighbours', len(alive)),
+        ('dark_backends', len(state.suspicion.list_dark(now))),
+    ]
--- a/apricottally/tagged/observation.py
+++ b/apricottally/tagged/observation.py
@@ -59,6 +59,7 @@
 ) -> None:
     if tag == flow.tag and len(flow.tried) == 1:
         state.answer_time.add(now - flow.sent_at)
+        state.durations.answer.add(now - flow.sent_at)
     state.flows.open_at(flow, tag)
     state.suspicion.note_proof(tag, now)
     flow.acknowledged = packet.acknowledged
--- a/apricottally/tagged/reading.py
+++ b/apricottally/tagged/reading.py
@@ -79,6 +79,7 @@
     """Take a complete list and pass on what is new."""
     reading = state.reading
     effects = _regain(state, event.now)
+    state.durations.platform_call.add(event.now - event.asked_at)
     reading.must_list = False
     reading.listed_at = event.now
     effects += spread.take_list(state, event)
@@ -88,6 +89,7 @@
 def receive_changes(state: NodeState, event: RecordsChanged) -> list[Effect]:
     """Take changes and pass them on; a watch without any confirms."""
     effects = _regain(state, event.now)
+    state.durations.platform_call.add(event.now - event.asked_at)
     effects += spread.take_watched(state, event)
     return effects + tick(state, event.now)
 
--- a/apricottally/tagged/refusals.py
+++ b/apricottally/tagged/refusals.py
@@ -101,6 +101,7 @@
 ) -> WriteLog:
     """Return the log line of a choice, with what decided it."""
     backend = entry.backend
+    state.durations.choice_age.add(now - state.freshness.confirmed_at)
     if backend is None:
         return WriteLog(event)
     return WriteLog(
--- a/apricottally/tagged/spread.py
+++ b/apricottally/tagged/spread.py
@@ -152,6 +152,8 @@
     """Apply changes; return log records and the changes that were new."""
     grace_s = state.freshness.lapse_grace_s(now)
     version = state.version
+    if changes and state.catalog.revision:
+        state.durations.in_force.add(now - state.freshness.confirmed_at)
     taken = [
         change
         for change in changes
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -11,6 +11,7 @@
 from apricottally.invariants import Invariants
 from apricottally.tagged.answertime import AnswerTime
 from apricottally.tagged.catalog import Catalog, Entry
+from apricottally.tagged.durations import Durations
 from apricottally.tagged.flows import FlowTable
 from apricottally.tagged.freshness import Freshness
 from apricottally.tagged.messages import Peer
@@ -63,6 +64,7 @@
         self.suspicion = Suspicion()
         self.flows = FlowTable(self.occupancy)
         self.answer_time = AnswerTime()
+        self.durations = Durations()
         self.reading = Reading()
         own = Peer(
             config.name,
--- a/tests/test_tagged_process.py
+++ b/tests/test_tagged_process.py
@@ -36,7 +36,7 @@
 
 
 def write_settings(path: Path, ports: list[int], store: int) -> None:
-    packets, ready, inner = ports
+    packets, ready, inner = ports[:3]
     path.write_text(
         f"""
 node-name = "front-a-1"
@@ -72,12 +72,22 @@
     return line
 
 
-async def start(settings: Path) -> asyncio.subprocess.Process:
+async def ask_metrics(port: int) -> str:
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n')
+    head = await reader.readuntil(b'\r\n\r\n')
+    length = int(head.partition(b'Content-Length: ')[2].split()[0])
+    body = await reader.readexactly(length)
+    writer.close()
+    return body.decode()
+
+
+async def start(settings: Path, **env: str) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
         'platform/main.py',
         cwd=ROOT,
-        env=os.environ | {'APRICOTTALLY_CONFIG': str(settings)},
+        env=os.environ | {'APRICOTTALLY_CONFIG': str(settings)} | env,
         stdout=asyncio.subprocess.PIPE,
     )
 
@@ -93,7 +103,7 @@
         backend = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         backend.bind(('127.0.0.1', 0))
         backend.setblocking(False)
-        ports = find_ports(3)
+        ports = find_ports(4)
         async with open_fleet_store() as fake:
             port = backend.getsockname()[1]
             fake.put_server('i-0000000a', address=f'127.0.0.1:{port}')
@@ -107,13 +117,17 @@
             fake.put_config(1, [route])
             settings = tmp_path / 'node.toml'
             write_settings(settings, ports, fake.endpoint[1])
-            process = await start(settings)
+            process = await start(settings, METRICS_PORT=str(ports[3]))
             assert await ask_ready(ports[1])
             process.send_signal(signal.SIGHUP)
             backend.sendto(SYN, ('127.0.0.1', ports[0]))
             received = await asyncio.get_running_loop().sock_recv(backend, 99)
             assert received[:8] == (10).to_bytes(8, 'big')
             assert received[-4:] == (10).to_bytes(4, 'big')
+            text = await ask_metrics(ports[3])
+            assert 'apricottally_chosen_total{reason="r"} 1' in text
+            assert 'apricottally_platform_call_seconds_bucket' in text
+            assert 'apricottally_configuration_version 1' in text
             process.send_signal(signal.SIGTERM)
             output, _ = await process.communicate()
             assert process.returncode == 0
