Let nodes of a zone leave in turn

Change: a node asked to stop stays ready while another one of its zone is away and its time allows; it exits 1.4 s after the end of readiness, not 2.0 s.

--- a/apricottally/tagged/neighbours.py
+++ b/apricottally/tagged/neighbours.py
@@ -18,6 +18,8 @@
 ALIVE_S = 1.2
 # The same for a node that only others hear.
 VOUCHED_S = 3.0
+# A node that has left is awaited back for so long.
+AWAY_S = 2.5
 # A node that was never heard, or went silent, is tried again for so long.
 FORGET_S = 30.0
 CONTACT_PERIOD_S = 1.0
@@ -132,6 +134,16 @@
             and _order(held.peer.name) < own_key
         )
 
+    def count_away(self, now: float) -> int:
+        """Return how many nodes of the zone leave or have just left."""
+        return sum(
+            1
+            for held in self.by_name.values()
+            if held.leaving
+            and held.peer.zone == self.own.zone
+            and now - held.heard_at < AWAY_S
+        )
+
     def list_contacts(
         self,
         now: float,
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from apricottally.effects import Exit
 from apricottally.tagged import (
     beating,
+    leaving,
     probing,
     reading,
     retrying,
@@ -62,7 +62,7 @@
     state.suspicion.review(state.catalog.entries(), now)
     effects += beating.tick(state, now)
     effects += reading.tick(state, now)
-    return effects + _leave(state, now)
+    return effects + leaving.tick(state, now)
 
 
 def _resume(state: NodeState, gap: float) -> list[Effect]:
@@ -82,27 +82,6 @@
     state.catalog.forget(now)
 
 
-def _request_shutdown(
-    state: NodeState,
-    event: ShutdownRequested,
-) -> list[Effect]:
-    """Stop being ready; packets are carried until the exit."""
-    if state.stopping_since is not None:
-        return [Exit(1)]
-    state.stopping_since = event.now
-    state.beat_due = True
-    fields = {'open_flows': len(state.flows.by_key)}
-    return [WriteLog('stopping', fields)]
-
-
-def _leave(state: NodeState, now: float) -> list[Effect]:
-    since = state.stopping_since
-    if since is None or now - since < state.config.leave_s:
-        return []
-    fields = {'open_flows': len(state.flows.by_key)}
-    return [WriteLog('stopped', fields), Exit(0)]
-
-
 _HANDLERS: dict[type, Callable[[NodeState, Any], list[Effect]]] = {
     PacketArrived: steering.receive,
     PeerArrived: beating.receive,
@@ -112,5 +91,5 @@
     ReadFailed: reading.receive_failure,
     ProbeEnded: probing.end_probe,
     SnapshotPulled: spread.take_snapshot,
-    ShutdownRequested: _request_shutdown,
+    ShutdownRequested: leaving.request,
 }
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -28,8 +28,9 @@
 
     `peer_port` is the port for datagrams and pulls of other nodes, `seeds`
     are such endpoints. `stale_s` is the age from which records count as old,
-    `watch_wait_s` how long a watch waits. `leave_s` is the time between a
-    request to stop and the exit. Beats may take `beat_bytes_per_s`.
+    `watch_wait_s` how long a watch waits. `leave_s` is the time between the
+    end of readiness and the exit, `grace_s` that between a request to stop
+    and a kill. Beats may take `beat_bytes_per_s`.
     """
 
     name: str
@@ -39,7 +40,8 @@
     seeds: tuple[Endpoint, ...] = ()
     stale_s: float = 1.65
     watch_wait_s: float = 1.0
-    leave_s: float = 2.0
+    leave_s: float = 1.4
+    grace_s: float = 6.0
     beat_bytes_per_s: float = 60_000
     strict: bool = False
 
@@ -81,6 +83,7 @@
         self.beat_due = True
         self.behind_since: float | None = None
         self.pulling_since: float | None = None
+        self.asked_to_stop_at: float | None = None
         self.stopping_since: float | None = None
         self.ticked_at = now
         self.purged_at = now
@@ -89,7 +92,7 @@
 
     @property
     def stopping(self) -> bool:
-        """Whether a graceful shutdown has begun."""
+        """Whether this node is leaving; it is no longer ready."""
         return self.stopping_since is not None
 
     @property
