Keep flows of a backend whose record is unreadable; list anew every 15 s

Cause: a record overwritten by another writer removed its backend, and after 2.5 s its open flows would have been reset though it lives; doubt in a backend outlived its restart under the same id; a change that a watch misses was never repaired, since revisions are compared only. Change: unreadable records suspend a backend for new flows only; a newer start time drops the evidence; readers list every 15 s. A fault soak with real processes: python -m tests.faults.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -29,13 +29,15 @@
 
     `backend` is the last one known, also after its removal. `removed_at` is
     when the removal was learned, `usable_until` up to when new flows may go
-    to a removed backend whose registration may merely have lapsed.
+    to a removed backend whose registration may merely have lapsed. A backend
+    whose record cannot be read keeps its flows and gets no new ones.
     """
 
     revision: int
     backend: Backend | None
     removed_at: float | None = None
     usable_until: float = 0
+    readable: bool = True
 
     def is_gone(self, now: float) -> bool:
         """Tell whether new flows must not go to the backend any more."""
@@ -104,6 +106,10 @@
             )
         return missing
 
+    def find_name(self, name: str) -> Entry | None:
+        """Return the entry of a backend by its name."""
+        return self._by_name.get(name)
+
     def find_tag(self, tag: int) -> Entry | None:
         """Return the entry of the backend that flows name by the tag."""
         return self._by_tag.get(tag)
@@ -143,6 +149,7 @@
                 name,
                 entry.revision,
                 entry.backend if entry.is_live() else None,
+                entry.readable,
             )
             for name, entry in self._by_name.items()
             if entry.revision > after
@@ -182,7 +189,10 @@
         if change.revision <= entry.revision:
             return False
         entry.revision = change.revision
+        entry.readable = change.readable
         self._by_service = None
+        if not change.readable:
+            return True
         if change.backend is None:
             _remove(entry, now, grace_s)
             return True
@@ -216,7 +226,9 @@
 
         Of two backends with one tag only one may get new flows.
         """
-        if backend.draining or self._by_tag.get(backend.tag) is not entry:
+        if backend.draining or not entry.readable:
+            return False
+        if self._by_tag.get(backend.tag) is not entry:
             return False
         return entry.removed_at is None or entry.usable_until > 0
 
--- a/apricottally/tagged/reading.py
+++ b/apricottally/tagged/reading.py
@@ -33,6 +33,8 @@
 MAX_DELAY_S = 1.0
 # Further back-off of a node for each one that comes before it.
 RANK_BACKOFF_S = 0.3
+# A reader lists anew after this time, in case a watch has missed a change.
+RELIST_S = 15.0
 # Nodes that start together know each other after this time.
 SETTLE_S = 0.5
 
@@ -56,7 +58,7 @@
     must_list: bool = True
     retry_at: float = 0
     failures: int = 0
-    listed_at: float | None = None
+    listed_at: float = float('-inf')
 
 
 def tick(state: NodeState, now: float) -> list[Effect]:
@@ -70,7 +72,7 @@
     if not _should_read(state, now):
         return []
     reading.phase = Phase.reading
-    if reading.must_list or not state.catalog.revision:
+    if reading.must_list or now - reading.listed_at > RELIST_S:
         return [ListRecords()]
     return [WatchRecords(state.catalog.revision, state.config.watch_wait_s)]
 
--- a/apricottally/tagged/records.py
+++ b/apricottally/tagged/records.py
@@ -72,11 +72,16 @@
 
 
 class BackendChange(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """A backend's record changed; `backend` is None if it was removed."""
+    """A backend's record changed; `backend` is None if it was removed.
+
+    A record that is not `readable` names no backend for new flows, but does
+    not say that the backend has gone.
+    """
 
     name: str
     revision: int
     backend: Backend | None
+    readable: bool = True
 
 
 class ConfigurationChange(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/apricottally/tagged/spread.py
+++ b/apricottally/tagged/spread.py
@@ -154,6 +154,8 @@
     version = state.version
     if changes and state.catalog.revision:
         state.durations.in_force.add(now - state.freshness.confirmed_at)
+    for change in changes:
+        _note_restart(state, change)
     taken = [
         change
         for change in changes
@@ -167,6 +169,17 @@
     return [_log_change(state, change, now) for change in taken], taken
 
 
+def _note_restart(state: NodeState, change: Change) -> None:
+    """Forget the evidence on a backend that has started anew."""
+    if isinstance(change, ConfigurationChange) or change.backend is None:
+        return
+    entry = state.catalog.find_name(change.name)
+    if entry is None or entry.backend is None:
+        return
+    if entry.backend.born_ms < change.backend.born_ms:
+        state.suspicion.forget(entry.backend.tag)
+
+
 def _advance(
     state: NodeState,
     revision: int,
@@ -235,7 +248,9 @@
             },
         )
     backend = change.backend
-    if backend is None:
+    if not change.readable:
+        status = 'unreadable'
+    elif backend is None:
         status = 'removed'
     else:
         status = 'draining' if backend.draining else 'ready'
--- a/apricottally/tagged/suspicion.py
+++ b/apricottally/tagged/suspicion.py
@@ -136,6 +136,11 @@
             if now < health.dark_until
         )
 
+    def forget(self, tag: int) -> None:
+        """Drop all evidence on a backend."""
+        self.health.pop(tag, None)
+        self.words.pop(tag, None)
+
     def clear(self) -> None:
         """Forget all misses, after a pause of this process."""
         for health in self.health.values():
--- a/tests/fleetstore.py
+++ b/tests/fleetstore.py
@@ -139,7 +139,7 @@
                     b'Content-Length: %d\r\n\r\n%s' % (status, len(body), body)
                 )
                 await writer.drain()
-        except (OSError, EOFError):
+        except (OSError, EOFError, asyncio.CancelledError):
             return
         finally:
             writer.close()
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -107,7 +107,9 @@
 def test_malformed_record_names_no_backend(changes) -> None:
     """Guards against records of another writer that stop or mislead a node."""
     item = records.Item('servers/i-00000009', 8, encode(SERVER | changes))
-    assert records.decode_item(item) == BackendChange('i-00000009', 8, None)
+    assert records.decode_item(item) == BackendChange(
+        'i-00000009', 8, None, readable=False
+    )
 
 
 @given(st.binary(max_size=60), st.text(max_size=12))
--- a/tests/test_tagged_records.py
+++ b/tests/test_tagged_records.py
@@ -92,6 +92,24 @@
     assert len(node.state.catalog.list_service('core')) == 1
 
 
+def test_reader_lists_anew() -> None:
+    """Guards against a change that a watch has missed for good."""
+    node = TaggedNode(1)
+    asked = node.pick(effects.WatchRecords, node.run(0.6))
+    lists = 0
+    while asked and node.now < 121:
+        node.run(1)
+        revision = node.state.catalog.revision
+        node.submit(
+            events.RecordsChanged(
+                node.now, node.now - 1, revision, revision, ()
+            )
+        )
+        asked = node.pick(effects.WatchRecords)
+        lists += len(node.pick(effects.ListRecords))
+    assert lists == 1
+
+
 def test_old_record_does_not_return() -> None:
     """Guards against a slow neighbour that brings back a removed backend."""
     node = TaggedNode(1)
--- a/tests/test_tagged_steering.py
+++ b/tests/test_tagged_steering.py
@@ -183,6 +183,30 @@
     assert node.pick(effects.Reset)
 
 
+def test_unreadable_record_keeps_flows() -> None:
+    """Guards against resets at a live backend whose record was overwritten."""
+    node = TaggedNode(2)
+    tag = node.open_flow(1)
+    name = f'i-{tag:08x}'
+    node.change(20, BackendChange(name, 20, None, readable=False))
+    node.run(3)
+    node.confirm()
+    node.request(1, tag)
+    assert node.forwarded()
+    node.send(2, packets.SYN)
+    assert node.forwarded()[0].backend.tag != tag
+
+
+def test_restart_under_same_name() -> None:
+    """Guards against doubt in a backend that has started anew."""
+    node = TaggedNode(1)
+    suspicion = node.state.suspicion
+    suspicion.note_unreached(1, node.now, node.now)
+    reborn = build_backend(1, born_ms=9)
+    node.change(20, BackendChange(reborn.name, 20, reborn))
+    assert not suspicion.is_doubted(1, 'a', node.now)
+
+
 @pytest.mark.parametrize('uptime_s', [0.5, 3])
 def test_unknown_tag(uptime_s) -> None:
     """Guards against a reset by a node that cannot know the backend yet."""
