--- a/apricottally/tagged/leaving.py
+++ b/apricottally/tagged/leaving.py
@@ -20,7 +20,7 @@
 # Part of a zone that may be away at a time; one node always may.
 AWAY_SHARE = 0.25
 # Time kept free before the process would be killed.
-MARGIN_S = 0.7
+MARGIN_S = 1.5
 
 
 def request(state: NodeState, event: ShutdownRequested) -> list[Effect]:
