--- a/apricottally/tagged/choice.py
+++ b/apricottally/tagged/choice.py
@@ -21,7 +21,7 @@
 # Parts of a weighted route, in shares of its total weight.
 _HASH_RANGE = 1 << 32
 
-# Doubt, work, and a random number for equal work; the lowest is best.
+# Suspicion, work, and a random number for equal work; the lowest is best.
 _Rank: TypeAlias = tuple[int, float, float]
 
 
@@ -34,7 +34,7 @@
 ) -> Entry | None:
     """Return the backend with the least work that may take the flow.
 
-    Backends that were tried come last, those in doubt before them. Returns
+    Backends that were tried come last, those suspected before them. Returns
     None if no backend is known or all would shed the flow.
     """
     for service in order_services(route, key):
@@ -74,9 +74,9 @@
         busy = state.occupancy.busy(backend.tag)
         if busy >= backend.slots + QUEUE_LENGTH:
             continue
-        doubt = _grade_doubt(state, backend, now, tried)
+        suspicion = _grade_suspicion(state, backend, now, tried)
         score = _score(state, entry, backend, busy, now)
-        rank = (doubt, score, state.rng.random())
+        rank = (suspicion, score, state.rng.random())
         ranked.append((rank, entry))
     return min(ranked, key=_get_rank)[1] if ranked else None
 
@@ -85,16 +85,16 @@
     return ranked[0]
 
 
-def _grade_doubt(
+def _grade_suspicion(
     state: NodeState,
     backend: Backend,
     now: float,
     tried: tuple[int, ...],
 ) -> int:
-    """Return 0 for a backend without doubt, more for one to avoid."""
+    """Return 0 for a backend without suspicion, more for one to avoid."""
     if backend.tag in tried:
         return 2
-    return int(state.suspicion.is_doubted(backend.tag, backend.zone, now))
+    return int(state.suspicion.is_suspect(backend.tag, backend.zone, now))
 
 
 def _score(
--- a/apricottally/tagged/exposition.py
+++ b/apricottally/tagged/exposition.py
@@ -71,5 +71,5 @@
         ('records_age_seconds', state.freshness.age_ms(now) / 1000),
         ('flows', len(state.flows.by_key)),
         ('neighbours', len(alive)),
-        ('dark_backends', len(state.suspicion.list_dark(now))),
+        ('unreachable_backends', len(state.suspicion.list_unreachable(now))),
     ]
--- a/apricottally/tagged/leaving.py
+++ b/apricottally/tagged/leaving.py
@@ -2,7 +2,7 @@
 
 A fabric that sees too few ready nodes in a zone sends packets to all of them,
 also to those that have gone. A node that is asked to stop stays ready while
-others of its zone are away, as long as its time allows; then it is no longer
+others of its zone are absent, as long as its time allows; then it is no longer
 ready, carries packets until the fabric has turned away, and exits.
 """
 
@@ -17,8 +17,8 @@
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
 
-# Part of a zone that may be away at a time; one node always may.
-AWAY_SHARE = 0.25
+# Part of a zone that may be absent at a time; one node always may.
+ABSENT_SHARE = 0.25
 # Time kept free before the process would be killed.
 MARGIN_S = 1.5
 
@@ -54,19 +54,19 @@
     if now < latest and not _is_turn(state, now):
         return []
     state.stopping_since = now
-    state.beat_due = True
+    state.heartbeat_due = True
     return [WriteLog('stopping', _describe(state, now))]
 
 
 def _is_turn(state: NodeState, now: float) -> bool:
     neighbours = state.neighbours
     present = 1 + len(neighbours.list_alive(now, state.config.zone))
-    away = neighbours.count_away(now)
-    return away < max(1, int(present * AWAY_SHARE))
+    absent = neighbours.count_absent(now)
+    return absent < max(1, int(present * ABSENT_SHARE))
 
 
 def _describe(state: NodeState, now: float) -> dict[str, LogValue]:
     return {
         'open_flows': len(state.flows.by_key),
-        'away': state.neighbours.count_away(now),
+        'absent': state.neighbours.count_absent(now),
     }
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -38,12 +38,12 @@
     open: int
 
 
-class Beat(msgspec.Struct, frozen=True, array_like=True, tag=1):
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """A node's state, sent often.
 
     `revision` is up to which the node holds all records, `age_ms` the time
-    since these were known to be the newest. `dark` are the tags of backends
-    that don't answer this node. `known` are some other nodes.
+    since these were known to be the newest. `unreachable` are the tags of
+    backends that a probe did not reach. `known` are some other nodes.
     """
 
     sender: Peer
@@ -52,7 +52,7 @@
     revision: int
     age_ms: int
     loads: tuple[Load, ...]
-    dark: tuple[int, ...]
+    unreachable: tuple[int, ...]
     known: tuple[Peer, ...]
 
 
@@ -78,7 +78,7 @@
     changes: tuple[Change, ...]
 
 
-Message: TypeAlias = Beat | Delta
+Message: TypeAlias = Heartbeat | Delta
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/apricottally/tagged/neighbours.py
+++ b/apricottally/tagged/neighbours.py
@@ -12,14 +12,14 @@
 from dataclasses import dataclass, field
 
 from apricottally.addresses import Endpoint
-from apricottally.tagged.messages import Beat, Peer
+from apricottally.tagged.messages import Heartbeat, Peer
 
 # A node that has not been heard for longer counts as gone.
 ALIVE_S = 1.2
 # The same for a node that only others hear.
-VOUCHED_S = 3.0
+MENTIONED_S = 3.0
 # A node that has left is awaited back for so long.
-AWAY_S = 2.5
+ABSENT_S = 2.5
 # A node that was never heard, or went silent, is tried again for so long.
 FORGET_S = 30.0
 CONTACT_PERIOD_S = 1.0
@@ -37,12 +37,12 @@
 class Neighbour:
     """What is known of one node.
 
-    `heard_at` is when it last spoke itself, `vouched_at` when another node
+    `heard_at` is when it last spoke itself, `mentioned_at` when another node
     last said that it had heard it.
     """
 
     peer: Peer
-    vouched_at: float
+    mentioned_at: float
     heard_at: float = _LONG_AGO
     sequence: int = 0
     leaving: bool = False
@@ -63,12 +63,12 @@
     by_name: dict[str, Neighbour] = field(default_factory=dict)
     contacted_at: float = _LONG_AGO
 
-    def hear(self, beat: Beat, now: float) -> tuple[Neighbour, bool]:
-        """Take a node's own word; tell whether it is new or has restarted.
+    def hear(self, heartbeat: Heartbeat, now: float) -> tuple[Neighbour, bool]:
+        """Take a heartbeat; tell whether its node is new or has restarted.
 
-        A beat that arrives late, after a newer one, changes nothing.
+        A heartbeat that arrives late, after a newer one, changes nothing.
         """
-        sender = beat.sender
+        sender = heartbeat.sender
         held = self.by_name.get(sender.name)
         fresh = held is None or now - held.heard_at > ALIVE_S
         if held is None or held.peer.incarnation != sender.incarnation:
@@ -76,13 +76,13 @@
             self.by_name[sender.name] = held
             fresh = True
         held.heard_at = now
-        held.vouched_at = now
-        if beat.sequence > held.sequence:
-            held.sequence = beat.sequence
-            held.leaving = beat.leaving
-            held.revision = beat.revision
-        for peer in beat.known:
-            self._vouch(peer, now)
+        held.mentioned_at = now
+        if heartbeat.sequence > held.sequence:
+            held.sequence = heartbeat.sequence
+            held.leaving = heartbeat.leaving
+            held.revision = heartbeat.revision
+        for peer in heartbeat.known:
+            self._mention(peer, now)
         return held, fresh
 
     def list_alive(
@@ -102,17 +102,17 @@
         Where every node of the zone speaks to every other one, these are the
         nodes heard; in a larger zone also those that others hear.
         """
-        vouched = [
+        mentioned = [
             held
             for held in self.by_name.values()
-            if held.peer.zone == zone and now - held.vouched_at < VOUCHED_S
+            if held.peer.zone == zone and now - held.mentioned_at < MENTIONED_S
         ]
-        if len(vouched) > ZONE_MESH_NODES:
-            return vouched
-        return [held for held in vouched if now - held.heard_at < ALIVE_S]
+        if len(mentioned) > ZONE_MESH_NODES:
+            return mentioned
+        return [held for held in mentioned if now - held.heard_at < ALIVE_S]
 
     def list_targets(self, now: float, rng: random.Random) -> list[Neighbour]:
-        """Return the nodes that get this node's beats and changes."""
+        """Return the nodes that get this node's heartbeats and changes."""
         alive = self.list_alive(now)
         if len(alive) < MESH_NODES:
             return alive
@@ -134,14 +134,14 @@
             and _order(held.peer.name) < own_key
         )
 
-    def count_away(self, now: float) -> int:
+    def count_absent(self, now: float) -> int:
         """Return how many nodes of the zone leave or have just left."""
         return sum(
             1
             for held in self.by_name.values()
             if held.leaving
             and held.peer.zone == self.own.zone
-            and now - held.heard_at < AWAY_S
+            and now - held.heard_at < ABSENT_S
         )
 
     def list_contacts(
@@ -170,7 +170,7 @@
         alive = [held.peer for held in self.list_alive(now)]
         return tuple(rng.sample(alive, min(KNOWN_PEERS, len(alive))))
 
-    def _vouch(self, peer: Peer, now: float) -> None:
+    def _mention(self, peer: Peer, now: float) -> None:
         if peer.name == self.own.name:
             return
         held = self.by_name.get(peer.name)
@@ -178,13 +178,13 @@
             self.by_name[peer.name] = Neighbour(peer, now)
             self.contacted_at = _LONG_AGO
         else:
-            held.vouched_at = now
+            held.mentioned_at = now
 
     def _forget(self, now: float) -> None:
         old = [
             name
             for name, held in self.by_name.items()
-            if now - held.vouched_at > FORGET_S
+            if now - held.mentioned_at > FORGET_S
         ]
         for name in old:
             self.by_name.pop(name)
--- a/apricottally/tagged/probing.py
+++ b/apricottally/tagged/probing.py
@@ -29,7 +29,7 @@
 
 
 def end_probe(state: NodeState, event: ProbeEnded) -> list[Effect]:
-    """Take the end of a probe; end the flows of a dark backend.
+    """Take the end of a probe; end the flows of a unreachable backend.
 
     A client whose request may be repeated is told at once. One whose request
     may have run keeps its flow: the backend may still answer.
@@ -40,13 +40,15 @@
         state.suspicion.note_proof(tag, now)
         return []
     state.counters.add('probe', 'failed')
-    if not state.suspicion.note_unreached(tag, event.asked_at, now):
+    if not state.suspicion.note_unreachable(tag, event.asked_at, now):
         return []
     fields: dict[str, LogValue] = {'tag': tag, 'version': state.version}
-    effects: list[Effect] = [WriteLog('backend_dark', fields)]
+    effects: list[Effect] = [WriteLog('backend_unreachable', fields)]
     for flow in state.flows.list_repeatable(tag):
         if flow.last is not None:
-            effects += refusals.reset(state, flow.last, 'backend_dark', now)
+            effects += refusals.reset(
+                state, flow.last, 'backend_unreachable', now
+            )
     return effects
 
 
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from apricottally.tagged import (
-    beating,
+    heartbeats,
     leaving,
     probing,
     reading,
@@ -64,8 +64,8 @@
         _purge(state, now)
     if state.freshness.review(now):
         fields = {'age_ms': state.freshness.age_ms(now)}
-        effects.append(WriteLog('records_old', fields))
-    effects += beating.tick(state, now)
+        effects.append(WriteLog('records_stale', fields))
+    effects += heartbeats.tick(state, now)
     return effects + leaving.tick(state, now)
 
 
@@ -88,7 +88,7 @@
 
 _HANDLERS: dict[type, Callable[[NodeState, Any], list[Effect]]] = {
     PacketArrived: steering.receive,
-    PeerArrived: beating.receive,
+    PeerArrived: heartbeats.receive,
     Ticked: _tick,
     RecordsListed: reading.receive_list,
     RecordsChanged: reading.receive_changes,
--- a/apricottally/tagged/spread.py
+++ b/apricottally/tagged/spread.py
@@ -1,7 +1,7 @@
 """Applying records from any source and passing them on to other nodes.
 
 A change is sent once to each of this node's neighbours. A node that has
-missed one sees a higher revision in a beat and pulls what is newer.
+missed one sees a higher revision in a heartbeat and pulls what is newer.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
 
-# A revision seen in a beat is pulled unless its changes come by themselves.
+# A revision seen in a heartbeat is pulled unless its changes come before.
 PULL_AFTER_S = 0.03
 PULL_AGAIN_S = 0.5
 
@@ -199,7 +199,7 @@
     changes: tuple[Change, ...],
     now: float,
 ) -> list[Effect]:
-    """Send changes to the neighbours; large ones are announced by a beat."""
+    """Send changes to the neighbours; a heartbeat announces large ones."""
     targets = [
         neighbour.endpoint
         for neighbour in state.neighbours.list_targets(now, state.rng)
@@ -216,7 +216,7 @@
     )
     payload = messages.encode(delta)
     if len(payload) > messages.MAX_DATAGRAM_BYTES:
-        state.beat_due = True
+        state.heartbeat_due = True
         return []
     state.counters.add('relayed', 'delta', len(targets))
     return [SendPeer(tuple(targets), payload)]
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -30,7 +30,7 @@
     are such endpoints. `stale_s` is the age from which records count as old,
     `watch_wait_s` how long a watch waits. `leave_s` is the time between the
     end of readiness and the exit, `grace_s` that between a request to stop
-    and a kill. Beats may take `beat_bytes_per_s`.
+    and a kill. Heartbeats may take `heartbeat_bytes_per_s`.
     """
 
     name: str
@@ -42,7 +42,7 @@
     watch_wait_s: float = 1.0
     leave_s: float = 1.4
     grace_s: float = 6.0
-    beat_bytes_per_s: float = 60_000
+    heartbeat_bytes_per_s: float = 60_000
     strict: bool = False
 
 
@@ -76,11 +76,13 @@
             rng.getrandbits(32),
         )
         self.neighbours = Neighbours(own, config.seeds)
-        self.budget = Budget(config.beat_bytes_per_s, config.beat_bytes_per_s)
+        self.budget = Budget(
+            config.heartbeat_bytes_per_s, config.heartbeat_bytes_per_s
+        )
         self.sequence = 0
-        self.beaten_at = now
-        self.beaten_afar_at = now
-        self.beat_due = True
+        self.heartbeat_at = now
+        self.remote_heartbeat_at = now
+        self.heartbeat_due = True
         self.behind_since: float | None = None
         self.pulling_since: float | None = None
         self.asked_to_stop_at: float | None = None
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -90,7 +90,7 @@
         return refusals.reset(state, packet, 'backend_gone', now)
     observation.observe(state, flow, packet, tag, route, now)
     if packet.length and _should_end(state, packet, tag, route, now):
-        return refusals.reset(state, packet, 'backend_dark', now)
+        return refusals.reset(state, packet, 'backend_unreachable', now)
     return [Forward(entry.backend, packet.raw)]
 
 
@@ -104,7 +104,7 @@
     """Tell whether the client is better off with a new flow."""
     if route.repetition is not Repetition.idempotent:
         return False
-    if not state.suspicion.is_dark(tag, now):
+    if not state.suspicion.is_unreachable(tag, now):
         return False
     flow = state.flows.by_key.get(packet.key)
     if flow is not None:
--- a/apricottally/tagged/suspicion.py
+++ b/apricottally/tagged/suspicion.py
@@ -5,9 +5,9 @@
 without an answer counts against the backend, and a request without progress
 asks for a probe, a TCP connection to the backend: an overloaded backend is
 late with its answers, but takes connections. Only a backend that fails a
-probe is dark; any proof clears it. The nodes of a zone tell each other which
-backends are dark; nodes of other zones may see a backend over another path,
-so their word is unused.
+probe is unreachable; any proof clears it. The nodes of a zone tell each other
+which backends are unreachable; nodes of other zones may see a backend over
+another path, so their reports are unused.
 """
 
 from __future__ import annotations
@@ -19,19 +19,19 @@
 from apricottally.tagged.catalog import Entry
 
 # How long a backend is avoided after its first, second and further misses.
-DOUBT_S = (0.3, 1.0, 2.0)
-# A verdict of a probe lasts so long; a backend is probed once in this time.
-DARK_S = 1.0
+SUSPICION_S = (0.3, 1.0, 2.0)
+# How long a failed probe counts, and the shortest time between two probes.
+UNREACHABLE_S = 1.0
 PROBE_PERIOD_S = 0.5
-# Time without any proof from which a zone's doubt covers a backend.
+# Time without any proof from which a zone's suspicion covers a backend.
 UNPROVED_S = 0.25
 # A miss older than this no longer counts.
 MISS_LIFE_S = 4.0
-# Doubted backends, and their part of a zone, that put all of it in doubt.
+# Suspected backends, and their part of a zone, that make all of it suspect.
 ZONE_MISSES = 2
 ZONE_SHARE = 0.4
-# A neighbour's word lasts so long, and counts only if no proof is newer.
-WORD_LIFE_S = 1.0
+# A neighbour's report lasts so long, and counts only if no proof is newer.
+REPORT_LIFE_S = 1.0
 _LONG_AGO = float('-inf')
 
 
@@ -41,8 +41,8 @@
 
     proved_at: float = _LONG_AGO
     probed_at: float = _LONG_AGO
-    dark_until: float = _LONG_AGO
-    doubted_until: float = _LONG_AGO
+    unreachable_until: float = _LONG_AGO
+    suspect_until: float = _LONG_AGO
     # Time of the last miss, by flow.
     misses: dict[bytes, float] = field(default_factory=dict)
 
@@ -52,21 +52,21 @@
     """Evidence on all backends, by tag."""
 
     health: dict[int, Health] = field(default_factory=dict)
-    # The part of it that holds a miss or a doubt.
-    doubted: dict[int, Health] = field(default_factory=dict)
-    words: dict[int, float] = field(default_factory=dict)
+    # The part of it that holds a miss or a suspicion.
+    suspects: dict[int, Health] = field(default_factory=dict)
+    reported: dict[int, float] = field(default_factory=dict)
     zones: frozenset[str] = frozenset()
 
     def note_proof(self, tag: int, now: float) -> None:
         """Take an answer of the backend as proof that it works."""
         health = self._find(tag)
         health.proved_at = now
-        health.dark_until = _LONG_AGO
+        health.unreachable_until = _LONG_AGO
         if health.misses:
             health.misses.clear()
-            health.doubted_until = _LONG_AGO
-        if self.words:
-            self.words.pop(tag, None)
+            health.suspect_until = _LONG_AGO
+        if self.reported:
+            self.reported.pop(tag, None)
 
     def note_miss(
         self,
@@ -80,9 +80,11 @@
         if sent_at < health.proved_at:
             return False
         health.misses[key] = now
-        self.doubted[tag] = health
-        step = min(len(health.misses), len(DOUBT_S)) - 1
-        health.doubted_until = max(health.doubted_until, now + DOUBT_S[step])
+        self.suspects[tag] = health
+        step = min(len(health.misses), len(SUSPICION_S)) - 1
+        health.suspect_until = max(
+            health.suspect_until, now + SUSPICION_S[step]
+        )
         return True
 
     def wants_probe(self, tag: int, since: float, now: float) -> bool:
@@ -98,68 +100,68 @@
         health.probed_at = now
         return True
 
-    def note_unreached(self, tag: int, asked_at: float, now: float) -> bool:
-        """Take a failed probe; tell whether the backend is dark by it."""
+    def note_unreachable(self, tag: int, asked_at: float, now: float) -> bool:
+        """Take a failed probe; tell whether the backend is unreachable."""
         health = self._find(tag)
         if health.proved_at > asked_at:
             return False
-        health.dark_until = now + DARK_S
-        self.doubted[tag] = health
-        health.doubted_until = max(health.doubted_until, now + DOUBT_S[-1])
+        health.unreachable_until = now + UNREACHABLE_S
+        self.suspects[tag] = health
+        health.suspect_until = max(health.suspect_until, now + SUSPICION_S[-1])
         return True
 
-    def note_words(self, tags: Iterable[int], now: float) -> None:
-        """Take a neighbour's word that backends are dark."""
+    def note_reported(self, tags: Iterable[int], now: float) -> None:
+        """Take a neighbour's report of unreachable backends."""
         for tag in tags:
             health = self.health.get(tag)
             proved_at = health.proved_at if health else _LONG_AGO
-            if now - proved_at > WORD_LIFE_S:
-                self.words[tag] = now + WORD_LIFE_S
+            if now - proved_at > REPORT_LIFE_S:
+                self.reported[tag] = now + REPORT_LIFE_S
 
-    def is_doubted(self, tag: int, zone: str, now: float) -> bool:
+    def is_suspect(self, tag: int, zone: str, now: float) -> bool:
         """Tell whether new flows should avoid the backend."""
         health = self.health.get(tag)
-        if health is not None and now < health.doubted_until:
+        if health is not None and now < health.suspect_until:
             return True
-        if self.words and now < self.words.get(tag, _LONG_AGO):
+        if self.reported and now < self.reported.get(tag, _LONG_AGO):
             return True
         if zone not in self.zones:
             return False
         return health is None or now - health.proved_at > UNPROVED_S
 
-    def is_dark(self, tag: int, now: float) -> bool:
+    def is_unreachable(self, tag: int, now: float) -> bool:
         """Tell whether a probe has failed and nothing has come since."""
         health = self.health.get(tag)
-        return health is not None and now < health.dark_until
+        return health is not None and now < health.unreachable_until
 
-    def list_dark(self, now: float) -> tuple[int, ...]:
-        """Return the tags of all dark backends."""
+    def list_unreachable(self, now: float) -> tuple[int, ...]:
+        """Return the tags of all unreachable backends."""
         return tuple(
             tag
-            for tag, health in self.doubted.items()
-            if now < health.dark_until
+            for tag, health in self.suspects.items()
+            if now < health.unreachable_until
         )
 
     def forget(self, tag: int) -> None:
         """Drop all evidence on a backend."""
         self.health.pop(tag, None)
-        self.doubted.pop(tag, None)
-        self.words.pop(tag, None)
+        self.suspects.pop(tag, None)
+        self.reported.pop(tag, None)
 
     def clear(self) -> None:
         """Forget all misses, after a pause of this process."""
-        for health in self.doubted.values():
+        for health in self.suspects.values():
             health.misses.clear()
-            health.doubted_until = _LONG_AGO
-            health.dark_until = _LONG_AGO
-        self.doubted.clear()
+            health.suspect_until = _LONG_AGO
+            health.unreachable_until = _LONG_AGO
+        self.suspects.clear()
 
     def review(self, entries: Iterable[Entry], now: float) -> None:
         """Drop old misses and judge whether whole zones are out of reach."""
         self._drop_old(now)
         zones = [
             entry.backend.zone
-            for entry in self._list_doubted(entries, now)
+            for entry in self._list_suspects(entries, now)
             if entry.backend is not None
         ]
         if len(zones) < ZONE_MISSES:
@@ -176,15 +178,15 @@
             if count >= ZONE_MISSES and count >= ZONE_SHARE * total[zone]
         )
 
-    def _list_doubted(
+    def _list_suspects(
         self,
         entries: Iterable[Entry],
         now: float,
     ) -> list[Entry]:
         tags = {
             tag
-            for tag, health in self.doubted.items()
-            if now < health.doubted_until
+            for tag, health in self.suspects.items()
+            if now < health.suspect_until
         }
         if not tags:
             return []
@@ -198,7 +200,7 @@
 
     def _drop_old(self, now: float) -> None:
         settled = []
-        for tag, health in self.doubted.items():
+        for tag, health in self.suspects.items():
             old = [
                 key
                 for key, at in health.misses.items()
@@ -206,13 +208,13 @@
             ]
             for key in old:
                 health.misses.pop(key)
-            if not health.misses and now >= health.doubted_until:
+            if not health.misses and now >= health.suspect_until:
                 settled.append(tag)
         for tag in settled:
-            self.doubted.pop(tag)
-        lapsed = [tag for tag, until in self.words.items() if until <= now]
+            self.suspects.pop(tag)
+        lapsed = [tag for tag, until in self.reported.items() if until <= now]
         for tag in lapsed:
-            self.words.pop(tag)
+            self.reported.pop(tag)
 
     def _find(self, tag: int) -> Health:
         health = self.health.get(tag)
--- a/tests/test_tagged_load.py
+++ b/tests/test_tagged_load.py
@@ -3,12 +3,12 @@
 import pytest
 
 from apricottally.tagged import effects, events, packets
-from apricottally.tagged.messages import Beat, Load, Peer, encode
+from apricottally.tagged.messages import Heartbeat, Load, Peer, encode
 from apricottally.tagged.occupancy import Occupancy, Report
 from tests.taggednode import TaggedNode, build_backend
 
 
-def build_beat(sequence: int, loads=(), **changes) -> Beat:
+def build_heartbeat(sequence: int, loads=(), **changes) -> Heartbeat:
     known = {
         'sender': Peer('n2', 'a', '10.1.0.2', 7720, 7),
         'sequence': sequence,
@@ -16,15 +16,15 @@
         'revision': 10,
         'age_ms': 0,
         'loads': tuple(loads),
-        'dark': (),
+        'unreachable': (),
         'known': (),
     }
-    return Beat(**(known | changes))
+    return Heartbeat(**(known | changes))
 
 
-def hear(node: TaggedNode, beat: Beat) -> None:
-    source = (beat.sender.ip, beat.sender.port)
-    node.submit(events.PeerArrived(node.now, source, encode(beat)))
+def hear(node: TaggedNode, heartbeat: Heartbeat) -> None:
+    source = (heartbeat.sender.ip, heartbeat.sender.port)
+    node.submit(events.PeerArrived(node.now, source, encode(heartbeat)))
 
 
 def test_request_is_counted_until_answered() -> None:
@@ -43,7 +43,7 @@
 def test_neighbour_work_is_seen() -> None:
     """Guards against nodes that all choose the backend another one fills."""
     node = TaggedNode(3)
-    hear(node, build_beat(1, [Load(1, 2, 2), Load(2, 1, 1)]))
+    hear(node, build_heartbeat(1, [Load(1, 2, 2), Load(2, 1, 1)]))
     node.send(1, packets.SYN)
     assert node.forwarded()[0].backend.tag == 3
 
@@ -53,7 +53,7 @@
     [((1, 2), 2), ((2, 1), 2), ((1, 1), 1)],
 )
 def test_reports_in_any_order(sequences, busy) -> None:
-    """Guards against a late beat that replaces a newer one."""
+    """Guards against a late heartbeat that replaces a newer one."""
     occupancy = Occupancy()
     for sequence in sequences:
         loads = (Load(1, sequence, 0),)
@@ -64,7 +64,7 @@
 def test_silent_neighbour_is_not_counted() -> None:
     """Guards against work of a dead node that counts for ever."""
     node = TaggedNode(1)
-    hear(node, build_beat(1, [Load(1, 4, 4)]))
+    hear(node, build_heartbeat(1, [Load(1, 4, 4)]))
     assert node.state.occupancy.busy(1) == 4
     node.run(2)
     assert node.state.occupancy.busy(1) == 0
@@ -73,9 +73,9 @@
 def test_restarted_neighbour_counts_anew() -> None:
     """Guards against the sequence of a former life that hides a new one."""
     node = TaggedNode(1)
-    hear(node, build_beat(50, [Load(1, 4, 4)]))
+    hear(node, build_heartbeat(50, [Load(1, 4, 4)]))
     reborn = Peer('n2', 'a', '10.1.0.2', 7720, 8)
-    hear(node, build_beat(1, [Load(1, 1, 1)], sender=reborn))
+    hear(node, build_heartbeat(1, [Load(1, 1, 1)], sender=reborn))
     assert node.state.occupancy.busy(1) == 1
 
 
@@ -134,10 +134,10 @@
     assert node.forwarded()[0].backend.tag == 1
 
 
-def test_beat_carries_own_work() -> None:
+def test_heartbeat_carries_own_work() -> None:
     """Guards against neighbours that are told nothing of new work."""
     node = TaggedNode(1)
-    hear(node, build_beat(1))
+    hear(node, build_heartbeat(1))
     node.run(0.1)
     node.send(1, packets.SYN)
     sent = node.pick(effects.SendPeer, node.run(0.05))
@@ -145,13 +145,13 @@
 
 
 def test_pause_is_not_taken_for_silence() -> None:
-    """Guards against doubt in backends after this process stood still."""
+    """Guards against suspicion in backends after this process stood still."""
     node = TaggedNode(2)
     node.send(1, packets.SYN)
     node.now += 3
     found = node.submit(events.Ticked(node.now))
     assert not node.pick(effects.Forward, found)
-    assert not node.state.suspicion.list_dark(node.now)
+    assert not node.state.suspicion.list_unreachable(node.now)
 
 
 def test_zone_out_of_reach_is_avoided_as_a_whole() -> None:
@@ -164,8 +164,8 @@
     for index in (1, 2):
         suspicion.note_miss(index, b'k%d' % index, node.now, node.now)
     node.run(0.06)
-    assert suspicion.is_doubted(3, 'b', node.now)
-    assert not suspicion.is_doubted(5, 'a', node.now)
+    assert suspicion.is_suspect(3, 'b', node.now)
+    assert not suspicion.is_suspect(5, 'a', node.now)
 
 
 def test_all_in_doubt_are_still_used() -> None:
@@ -178,12 +178,12 @@
 
 
 @pytest.mark.parametrize(('zone', 'avoided'), [('a', True), ('b', False)])
-def test_word_of_neighbour(zone, avoided) -> None:
-    """Guards against doubts of another zone, which sees other paths."""
+def test_report_of_neighbour(zone, avoided) -> None:
+    """Guards against suspicions of another zone, which sees other paths."""
     node = TaggedNode(2)
     sender = Peer('n2', zone, '10.1.0.2', 7720, 7)
-    hear(node, build_beat(1, sender=sender, dark=(1,)))
-    assert node.state.suspicion.is_doubted(1, 'a', node.now) is avoided
+    hear(node, build_heartbeat(1, sender=sender, unreachable=(1,)))
+    assert node.state.suspicion.is_suspect(1, 'a', node.now) is avoided
 
 
 @pytest.mark.parametrize('payload', [b'', b'\x91', b'\x93\x09\x01\x02', b'x'])
--- a/tests/test_tagged_records.py
+++ b/tests/test_tagged_records.py
@@ -12,7 +12,7 @@
     build_configuration,
     build_route,
 )
-from tests.test_tagged_load import build_beat, hear
+from tests.test_tagged_load import build_heartbeat, hear
 
 
 def test_reads_list_at_start() -> None:
@@ -32,7 +32,7 @@
     sender = Peer(neighbour, 'a', '10.1.0.2', 7720, 7)
     found = []
     for sequence in range(60):
-        hear(node, build_beat(sequence + 1, sender=sender))
+        hear(node, build_heartbeat(sequence + 1, sender=sender))
         found += node.run(0.02)
     assert bool(node.pick(effects.WatchRecords, found)) is watches
 
@@ -40,15 +40,15 @@
 def test_silent_reader_is_replaced() -> None:
     """Guards against records that grow old when the reader is cut off.
 
-    Pattern: the zone's reader beats on, but its own records are not confirmed
-    any more.
+    Pattern: the zone's reader still sends heartbeats, but its own records are
+    not confirmed any more.
     """
     node = TaggedNode(1)
     sender = Peer('n2', 'a', '10.1.0.2', 7720, 7)
     started = node.now
     for sequence in range(200):
         age_ms = int((node.now - started) * 1000)
-        hear(node, build_beat(sequence + 1, sender=sender, age_ms=age_ms))
+        hear(node, build_heartbeat(sequence + 1, sender=sender, age_ms=age_ms))
         if node.pick(effects.WatchRecords, node.run(0.02)):
             break
     assert 1.6 < node.now - started < 2.2
@@ -125,7 +125,7 @@
     """Guards against changes that stop at the first node."""
     node = TaggedNode(1)
     third = Peer('n3', 'a', '10.1.0.3', 7720, 7)
-    hear(node, build_beat(1, sender=third))
+    hear(node, build_heartbeat(1, sender=third))
     change = BackendChange('i-00000002', 11, build_backend(2))
     delta = Delta('n2', 10, 11, 0, (change,))
     node.submit(events.PeerArrived(node.now, ('10.1.0.2', 1), encode(delta)))
@@ -137,7 +137,7 @@
 def test_gap_is_pulled() -> None:
     """Guards against a lost datagram that leaves a record out for ever."""
     node = TaggedNode(1)
-    hear(node, build_beat(1))
+    hear(node, build_heartbeat(1))
     delta = Delta('n2', 15, 16, 0, ())
     node.submit(events.PeerArrived(node.now, ('10.1.0.2', 1), encode(delta)))
     assert node.pick(effects.PullSnapshot)
@@ -147,15 +147,15 @@
     """Guards against a pull that never comes because others are as old.
 
     Pattern: one reader with a newer configuration among many nodes that have
-    not got it; a beat of each arrives in turn.
+    not got it; a heartbeat of each arrives in turn.
     """
     node = TaggedNode(1)
     old = Peer('n3', 'a', '10.1.0.3', 7720, 7)
     found = []
     for sequence in range(20):
-        hear(node, build_beat(sequence + 1, revision=12))
+        hear(node, build_heartbeat(sequence + 1, revision=12))
         found += node.effects
-        hear(node, build_beat(sequence + 1, sender=old, revision=10))
+        hear(node, build_heartbeat(sequence + 1, sender=old, revision=10))
         node.now += 0.01
     assert node.pick(effects.PullSnapshot, found)
 
@@ -163,7 +163,7 @@
 def test_large_configuration_is_announced() -> None:
     """Guards against datagrams that are too large to arrive."""
     node = TaggedNode(1)
-    hear(node, build_beat(1))
+    hear(node, build_heartbeat(1))
     node.run(0.02)
     routes = [build_route(port, 0) for port in range(1000, 1200)]
     node.change(
@@ -197,12 +197,12 @@
 def test_failed_pull_is_tried_again() -> None:
     """Guards against a node that stays behind after one lost answer."""
     node = TaggedNode(1)
-    hear(node, build_beat(1, revision=12))
+    hear(node, build_heartbeat(1, revision=12))
     node.now += 0.05
-    hear(node, build_beat(2, revision=12))
+    hear(node, build_heartbeat(2, revision=12))
     assert node.pick(effects.PullSnapshot)
     node.submit(events.SnapshotPulled(node.now, node.now, 'n2', None, 'lost'))
-    hear(node, build_beat(3, revision=12))
+    hear(node, build_heartbeat(3, revision=12))
     assert node.pick(effects.PullSnapshot)
 
 
@@ -225,14 +225,14 @@
     node = TaggedNode(1)
     leaver = Peer('n2', 'a', '10.1.0.2', 7720, 7)
     other = Peer('n3', 'a', '10.1.0.3', 7720, 7)
-    hear(node, build_beat(1, sender=leaver, leaving=True))
+    hear(node, build_heartbeat(1, sender=leaver, leaving=True))
     node.submit(events.ShutdownRequested(node.now))
     for sequence in range(10):
-        hear(node, build_beat(sequence + 2, sender=other))
+        hear(node, build_heartbeat(sequence + 2, sender=other))
         node.run(0.1)
         assert node.state.ready
     back = Peer('n2', 'a', '10.1.0.2', 7720, 8)
-    hear(node, build_beat(1, sender=back))
+    hear(node, build_heartbeat(1, sender=back))
     node.run(0.01)
     assert not node.state.ready
 
@@ -243,7 +243,7 @@
     leaver = Peer('n2', 'a', '10.1.0.2', 7720, 7)
     node.submit(events.ShutdownRequested(node.now))
     for sequence in range(58):
-        hear(node, build_beat(sequence + 1, sender=leaver, leaving=True))
+        hear(node, build_heartbeat(sequence + 1, sender=leaver, leaving=True))
         if node.pick(effects.Exit, node.run(0.1)):
             break
     assert node.pick(effects.Exit)
--- a/tests/test_tagged_steering.py
+++ b/tests/test_tagged_steering.py
@@ -46,7 +46,7 @@
 
 
 def test_copy_of_first_packet() -> None:
-    """Guards against a client whose copies all go to a dark backend."""
+    """Guards against a client whose copies all go to a unreachable backend."""
     node = TaggedNode(3)
     node.send(1, packets.SYN, sequence=5)
     first = node.forwarded()[0].backend.tag
@@ -198,13 +198,13 @@
 
 
 def test_restart_under_same_name() -> None:
-    """Guards against doubt in a backend that has started anew."""
+    """Guards against suspicion in a backend that has started anew."""
     node = TaggedNode(1)
     suspicion = node.state.suspicion
-    suspicion.note_unreached(1, node.now, node.now)
+    suspicion.note_unreachable(1, node.now, node.now)
     reborn = build_backend(1, born_ms=9)
     node.change(20, BackendChange(reborn.name, 20, reborn))
-    assert not suspicion.is_doubted(1, 'a', node.now)
+    assert not suspicion.is_suspect(1, 'a', node.now)
 
 
 @pytest.mark.parametrize('uptime_s', [0.5, 3])
