Count a failed probe only if another backend answers at once

Change: each probe also connects to the backend that proved itself last; only if that one answers within 60 ms, twice in a row, the probed one counts as unreachable. Without such a backend there is no probe.

--- a/apricottally/tagged/calls.py
+++ b/apricottally/tagged/calls.py
@@ -14,9 +14,11 @@
 from apricottally.tagged.records import Backend, Change
 from apricottally.tagged.state import NodeState
 
-# A probe makes two connections at a time, since a packet may be lost.
-PROBE_TIMEOUT_S = 0.2
-PROBE_CONNECTIONS = 2
+# A probe makes two connections at a time, since a packet may be lost, and is
+# repeated before a backend counts as unreachable.
+PROBE_TIMEOUT_S = 0.15
+# A backend that answers later than this shows that this node is too slow.
+REFERENCE_TIMEOUT_S = 0.06
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +71,7 @@
 
     def probe_backend(self, effect: effects.ProbeBackend) -> None:
         """Try to connect to a backend."""
-        self._run(self._probe(effect.backend))
+        self._run(self._probe(effect))
 
     def close(self) -> None:
         """End all calls."""
@@ -125,15 +127,30 @@
             ),
         )
 
-    async def _probe(self, backend: Backend) -> None:
+    async def _probe(self, effect: effects.ProbeBackend) -> None:
         asked_at = self._loop.time()
-        tries = [
-            self._loop.create_task(_connect(backend))
-            for _ in range(PROBE_CONNECTIONS)
-        ]
-        reached = any(await asyncio.gather(*tries))
-        now = self._loop.time()
-        self._submit(events.ProbeEnded(now, asked_at, backend.tag, reached))
+        backend = effect.backend
+        reached, conclusive = await self._probe_once(effect)
+        if conclusive and not reached:
+            reached, conclusive = await self._probe_once(effect)
+        self._submit(
+            events.ProbeEnded(
+                self._loop.time(), asked_at, backend.tag, reached, conclusive
+            ),
+        )
+
+    async def _probe_once(
+        self,
+        effect: effects.ProbeBackend,
+    ) -> tuple[bool, bool]:
+        """Return whether the backend was reached, and whether that counts."""
+        answers = await asyncio.gather(
+            _connect(effect.backend, PROBE_TIMEOUT_S),
+            _connect(effect.backend, PROBE_TIMEOUT_S),
+            _connect(effect.reference, REFERENCE_TIMEOUT_S),
+        )
+        reached = answers[0] or answers[1]
+        return reached, reached or answers[2]
 
     def _fail(self, error: PlatformError) -> None:
         compacted = isinstance(error, CompactedError)
@@ -141,10 +158,10 @@
         self._submit(events.ReadFailed(self._loop.time(), reason, compacted))
 
 
-async def _connect(backend: Backend) -> bool:
-    """Tell whether a backend takes a connection."""
+async def _connect(backend: Backend, timeout_s: float) -> bool:
+    """Tell whether a backend takes a connection in time."""
     try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             _, writer = await asyncio.open_connection(backend.ip, backend.port)
     except OSError:
         return False
--- a/apricottally/tagged/effects.py
+++ b/apricottally/tagged/effects.py
@@ -61,9 +61,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeBackend:
-    """Try to connect to a backend server."""
+    """Try to connect to a backend server, and to one known to answer.
+
+    Without an answer of `reference` the probe says nothing: this node, or its
+    link, may be too slow.
+    """
 
     backend: Backend
+    reference: Backend
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricottally/tagged/events.py
+++ b/apricottally/tagged/events.py
@@ -91,12 +91,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
-    """A probe of a backend ended; `reached` says that it connected."""
+    """A probe of a backend ended; `reached` says that it connected.
+
+    It is `conclusive` if the backend was reached, or if the one probed beside
+    it answered at once.
+    """
 
     now: float
     asked_at: float
     tag: int
     reached: bool
+    conclusive: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricottally/tagged/probing.py
+++ b/apricottally/tagged/probing.py
@@ -6,8 +6,11 @@
 
 from apricottally.effects import LogValue
 from apricottally.tagged import refusals
+from apricottally.tagged.catalog import Entry
 from apricottally.tagged.effects import Effect, ProbeBackend, WriteLog
 from apricottally.tagged.events import ProbeEnded
+from apricottally.tagged.records import Backend
+from apricottally.tagged.suspicion import NEVER
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -40,6 +43,9 @@
         state.suspicion.note_proof(tag, now)
         return []
     state.counters.add('probe', 'failed')
+    if not event.conclusive:
+        state.counters.add('probe', 'inconclusive')
+        return []
     if not state.suspicion.note_unreachable(tag, event.asked_at, now):
         return []
     fields: dict[str, LogValue] = {'tag': tag, 'version': state.version}
@@ -64,5 +70,24 @@
         return []
     if not state.suspicion.wants_probe(tag, since, now):
         return []
+    reference = _find_reference(state, entry)
+    if reference is None:
+        return []
     state.counters.add('probe', 'begun')
-    return [ProbeBackend(entry.backend)]
+    return [ProbeBackend(entry.backend, reference)]
+
+
+def _find_reference(state: NodeState, probed: Entry) -> Backend | None:
+    """Return the backend that proved itself last, this zone's first."""
+    best: Backend | None = None
+    best_rank = (False, NEVER)
+    for entry in state.catalog.entries():
+        backend = entry.backend
+        if backend is None or entry is probed or not entry.is_live():
+            continue
+        proved_at = state.suspicion.proved_at(backend.tag)
+        rank = (backend.zone == state.config.zone, proved_at)
+        if proved_at > NEVER and rank > best_rank:
+            best = backend
+            best_rank = rank
+    return best
--- a/apricottally/tagged/suspicion.py
+++ b/apricottally/tagged/suspicion.py
@@ -32,17 +32,18 @@
 ZONE_SHARE = 0.4
 # A neighbour's report lasts so long, and counts only if no proof is newer.
 REPORT_LIFE_S = 1.0
-_LONG_AGO = float('-inf')
+# Time of what has not happened.
+NEVER = float('-inf')
 
 
 @dataclass(slots=True)
 class Health:
     """Evidence on one backend; times are monotonic seconds."""
 
-    proved_at: float = _LONG_AGO
-    probed_at: float = _LONG_AGO
-    unreachable_until: float = _LONG_AGO
-    suspect_until: float = _LONG_AGO
+    proved_at: float = NEVER
+    probed_at: float = NEVER
+    unreachable_until: float = NEVER
+    suspect_until: float = NEVER
     # Time of the last miss, by flow.
     misses: dict[bytes, float] = field(default_factory=dict)
 
@@ -61,10 +62,10 @@
         """Take an answer of the backend as proof that it works."""
         health = self._find(tag)
         health.proved_at = now
-        health.unreachable_until = _LONG_AGO
+        health.unreachable_until = NEVER
         if health.misses:
             health.misses.clear()
-            health.suspect_until = _LONG_AGO
+            health.suspect_until = NEVER
         if self.reported:
             self.reported.pop(tag, None)
 
@@ -114,7 +115,7 @@
         """Take a neighbour's report of unreachable backends."""
         for tag in tags:
             health = self.health.get(tag)
-            proved_at = health.proved_at if health else _LONG_AGO
+            proved_at = health.proved_at if health else NEVER
             if now - proved_at > REPORT_LIFE_S:
                 self.reported[tag] = now + REPORT_LIFE_S
 
@@ -123,7 +124,7 @@
         health = self.health.get(tag)
         if health is not None and now < health.suspect_until:
             return True
-        if self.reported and now < self.reported.get(tag, _LONG_AGO):
+        if self.reported and now < self.reported.get(tag, NEVER):
             return True
         if zone not in self.zones:
             return False
@@ -142,6 +143,11 @@
             if now < health.unreachable_until
         )
 
+    def proved_at(self, tag: int) -> float:
+        """Return when the backend last proved that it answers."""
+        health = self.health.get(tag)
+        return NEVER if health is None else health.proved_at
+
     def forget(self, tag: int) -> None:
         """Drop all evidence on a backend."""
         self.health.pop(tag, None)
@@ -152,8 +158,8 @@
         """Forget all misses, after a pause of this process."""
         for health in self.suspects.values():
             health.misses.clear()
-            health.suspect_until = _LONG_AGO
-            health.unreachable_until = _LONG_AGO
+            health.suspect_until = NEVER
+            health.unreachable_until = NEVER
         self.suspects.clear()
 
     def review(self, entries: Iterable[Entry], now: float) -> None:
--- a/tests/test_tagged_process.py
+++ b/tests/test_tagged_process.py
@@ -12,12 +12,15 @@
 import pytest
 
 from apricottally.errors import PullError
+from apricottally.tagged.calls import Calls
+from apricottally.tagged.effects import ProbeBackend
+from apricottally.tagged.events import ProbeEnded
 from apricottally.tagged.linelog import MAX_PENDING_BYTES, LineLog
 from apricottally.tagged.pulls import open_pull_server, pull
 from apricottally.tagged.spread import build_snapshot
-from tests.asyncruns import in_turn, run
+from tests.asyncruns import in_turn, run, wait_until
 from tests.fleetstore import open_fleet_store
-from tests.taggednode import TaggedNode
+from tests.taggednode import TaggedNode, build_backend
 
 # Log lines that a blocked reader is given.
 STEPS = 20_000
@@ -214,3 +217,44 @@
             await pull(endpoint, 0)
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('alive', 'reference', 'expected'),
+    [
+        (True, True, (True, True)),
+        (True, False, (True, True)),
+        (False, True, (False, True)),
+        (False, False, (False, False)),
+    ],
+)
+def test_probe_of_backend(alive, reference, expected) -> None:
+    """Guards against a verdict on a backend when nothing can be reached."""
+
+    async def scenario() -> None:
+        ports = find_ports(2)
+        found: list[ProbeEnded] = []
+        opened = zip(ports, (alive, reference), strict=True)
+        servers = await asyncio.gather(
+            *(
+                asyncio.start_server(hang_up, '127.0.0.1', port)
+                for port, listens in opened
+                if listens
+            )
+        )
+        calls = Calls(TaggedNode(1).state, None, found.append)
+        probed, other = (
+            build_backend(index, ip='127.0.0.1', port=port)
+            for index, port in enumerate(ports, start=1)
+        )
+        calls.probe_backend(ProbeBackend(probed, other))
+        await wait_until(lambda: found)
+        assert (found[0].reached, found[0].conclusive) == expected
+        for server in servers:
+            server.close()
+
+    run(scenario())
+
+
+async def hang_up(reader, writer) -> None:
+    writer.close()
--- a/tests/test_tagged_steering.py
+++ b/tests/test_tagged_steering.py
@@ -257,6 +257,7 @@
     may run once only keeps its flow.
     """
     node = TaggedNode(2)
+    node.state.suspicion.note_proof(2, node.now)
     tag = node.open_flow(1, port=port)
     node.request(1, tag, port=port)
     probes = node.pick(effects.ProbeBackend, node.run(0.2))
@@ -272,6 +273,9 @@
     send their data again.
     """
     node = TaggedNode(1)
+    other = build_backend(2, service='other')
+    node.change(20, BackendChange(other.name, 20, other))
+    node.state.suspicion.note_proof(2, node.now)
     for port in (1, 2, 3):
         node.open_flow(port)
         node.request(port, 1)
@@ -284,6 +288,35 @@
         assert node.forwarded()
 
 
+def test_slow_node_ends_no_flow() -> None:
+    """Guards against resets of flows by a node whose own link is full.
+
+    Pattern: a configuration of 1,700 routes keeps the link and the processor
+    of a small machine busy; connections to any backend time out.
+    """
+    node = TaggedNode(2)
+    node.state.suspicion.note_proof(2, node.now)
+    tag = node.open_flow(1)
+    node.request(1, tag)
+    probes = node.pick(effects.ProbeBackend, node.run(0.2))
+    assert probes[0].reference.tag != tag
+    node.submit(
+        events.ProbeEnded(
+            node.now, node.now - 0.1, tag, reached=False, conclusive=False
+        )
+    )
+    assert not node.pick(effects.Reset)
+    assert not node.state.suspicion.is_unreachable(tag, node.now)
+
+
+def test_no_probe_without_reference() -> None:
+    """Guards against a verdict that rests on this node's word alone."""
+    node = TaggedNode(1)
+    node.open_flow(1)
+    node.request(1, 1)
+    assert not node.pick(effects.ProbeBackend, node.run(0.2))
+
+
 def test_split_route_draws_by_weight() -> None:
     """Guards against a weight of zero that still gets flows."""
     node = TaggedNode(0)
