Count nothing for flows beyond the table's size

Cause: with 100,000 flows held, each packet of a further one began a request and its FIN closed a flow that was never counted, so counts fell below zero. Found by reading the change once more. Change: packets of such flows are sent on and not observed.

--- a/apricottally/tagged/flows.py
+++ b/apricottally/tagged/flows.py
@@ -82,15 +82,16 @@
         self.occupancy.add_open(flow.tag, 1)
         self.opening.append(flow)
 
-    def adopt(self, flow: Flow, packet: FlowPacket) -> None:
-        """Take a flow that was opened through another node."""
+    def adopt(self, flow: Flow, packet: FlowPacket) -> bool:
+        """Take a flow that was opened elsewhere; tell whether there is room."""
         if len(self.by_key) >= MAX_FLOWS:
-            return
+            return False
         flow.opened = True
         flow.acknowledged = packet.acknowledged
         flow.sent_end = packet.sequence
         self.by_key[flow.key] = flow
         self.occupancy.add_open(flow.tag, 1)
+        return True
 
     def move(self, flow: Flow, entry: Entry, now: float) -> None:
         """Count a flow at another backend, which gets its first packet."""
--- a/apricottally/tagged/observation.py
+++ b/apricottally/tagged/observation.py
@@ -25,7 +25,8 @@
         if packet.flags & (FIN | RST):
             return
         flow = Flow(packet.key, tag, route, now, now)
-        state.flows.adopt(flow, packet)
+        if not state.flows.adopt(flow, packet):
+            return
     flow.seen_at = now
     if not flow.closed:
         _observe_open(state, flow, packet, tag, now)
--- a/tests/test_tagged_load.py
+++ b/tests/test_tagged_load.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from apricottally.tagged import effects, events, packets
+from apricottally.tagged import effects, events, flows, packets
 from apricottally.tagged.messages import Heartbeat, Load, Peer, encode
 from apricottally.tagged.occupancy import Occupancy, Report
 from tests.taggednode import TaggedNode, build_backend
@@ -40,6 +40,18 @@
     assert node.state.occupancy.open(1) == 0
 
 
+def test_full_flow_table_counts_nothing(monkeypatch) -> None:
+    """Guards against counts below zero when more flows come than are kept."""
+    monkeypatch.setattr(flows, 'MAX_FLOWS', 1)
+    node = TaggedNode(1)
+    node.open_flow(1)
+    node.send(2, packets.ACK, sequence=5, length=3, tag=1)
+    assert node.forwarded()
+    node.send(2, packets.FIN | packets.ACK, sequence=8, tag=1)
+    assert node.state.occupancy.busy(1) == 1
+    assert node.state.occupancy.open(1) == 1
+
+
 def test_neighbour_work_is_seen() -> None:
     """Guards against nodes that all choose the backend another one fills."""
     node = TaggedNode(3)
