--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -123,7 +123,7 @@
         return index.get(service, ())
 
     def forget(self, now: float) -> None:
-        """Drop old removals, and entries whose grace is over."""
+        """Drop removals that are older than any flow."""
         old = [
             name
             for name, entry in self._by_name.items()
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
+from typing import TypeAlias, TypeVar
 
 import msgspec
 
@@ -79,6 +79,7 @@
 
 
 Message: TypeAlias = Heartbeat | Delta
+_Decoded = TypeVar('_Decoded')
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
@@ -92,19 +93,22 @@
 
 def decode(payload: bytes) -> Message:
     """Decode a datagram; raises `WireError` with the reason."""
-    try:
-        return _decoder.decode(payload)
-    except msgspec.ValidationError as error:
-        raise WireError('invalid_message') from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise WireError('malformed_message') from error
+    return _decode(_decoder, payload, 'message')
 
 
 def decode_snapshot(payload: bytes) -> Snapshot:
     """Decode a snapshot; raises `WireError` with the reason."""
+    return _decode(_snapshot_decoder, payload, 'snapshot')
+
+
+def _decode(
+    decoder: msgspec.msgpack.Decoder[_Decoded],
+    payload: bytes,
+    kind: str,
+) -> _Decoded:
     try:
-        return _snapshot_decoder.decode(payload)
+        return decoder.decode(payload)
     except msgspec.ValidationError as error:
-        raise WireError('invalid_snapshot') from error
+        raise WireError(f'invalid_{kind}') from error
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise WireError('malformed_snapshot') from error
+        raise WireError(f'malformed_{kind}') from error
--- a/apricottally/tagged/probing.py
+++ b/apricottally/tagged/probing.py
@@ -32,7 +32,7 @@
 
 
 def end_probe(state: NodeState, event: ProbeEnded) -> list[Effect]:
-    """Take the end of a probe; end the flows of a unreachable backend.
+    """Take the end of a probe; end the flows of an unreachable backend.
 
     A client whose request may be repeated is told at once. One whose request
     may have run keeps its flow: the backend may still answer.
--- a/apricottally/tagged/pulls.py
+++ b/apricottally/tagged/pulls.py
@@ -9,13 +9,14 @@
 import asyncio
 import struct
 import zlib
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager, closing
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager, closing
 from functools import partial
 
 from apricottally.addresses import Endpoint
-from apricottally.errors import PullError, SocketError, WireError
+from apricottally.errors import PullError, WireError
 from apricottally.tagged.messages import Snapshot, decode_snapshot, encode
+from apricottally.tagged.servers import open_server
 
 _REVISION = struct.Struct('>Q')
 _LENGTH = struct.Struct('>I')
@@ -36,23 +37,15 @@
         raise PullError(repr(error)) from error
 
 
-@asynccontextmanager
-async def open_pull_server(
+def open_pull_server(
     endpoint: Endpoint,
     build: BuildSnapshot,
-) -> AsyncIterator[None]:
+) -> AbstractAsyncContextManager[None]:
     """Answer pulls until the block ends.
 
     Raises `SocketError` if the port cannot be opened.
     """
-    try:
-        server = await asyncio.start_server(partial(_serve, build), *endpoint)
-    except OSError as error:
-        raise SocketError(endpoint, str(error)) from error
-    try:
-        yield
-    finally:
-        server.close()
+    return open_server(endpoint, partial(_answer_in_time, build))
 
 
 async def _exchange(endpoint: Endpoint, after: int) -> Snapshot:
@@ -71,19 +64,13 @@
     return await reader.readexactly(length)
 
 
-async def _serve(
+async def _answer_in_time(
     build: BuildSnapshot,
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
-    try:
-        async with asyncio.timeout(TIMEOUT_S):
-            await _answer(reader, writer, build)
-    except _FAULTS:
-        # An asker that is slow or gone asks another node.
-        return
-    finally:
-        writer.close()
+    async with asyncio.timeout(TIMEOUT_S):
+        await _answer(reader, writer, build)
 
 
 async def _answer(
--- a/apricottally/tagged/readiness.py
+++ b/apricottally/tagged/readiness.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import Callable, Mapping
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from functools import partial
 
 from apricottally.addresses import Endpoint
-from apricottally.errors import SocketError
+from apricottally.tagged.servers import open_server
 
-MAX_HEAD_BYTES = 8192
 IDLE_TIMEOUT_S = 30.0
-_FAULTS = (OSError, EOFError, asyncio.LimitOverrunError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,46 +27,21 @@
 NOT_FOUND = Answer('404 Not Found', b'unknown path\n')
 
 
-@asynccontextmanager
-async def open_responder(
+def open_responder(
     endpoint: Endpoint,
     handlers: Mapping[str, Handle],
-) -> AsyncIterator[None]:
+) -> AbstractAsyncContextManager[None]:
     """Answer GET requests by path until the block ends.
 
     Raises `SocketError` if the port cannot be opened.
     """
-    serve = partial(_serve, handlers)
-    try:
-        server = await asyncio.start_server(
-            serve, *endpoint, limit=MAX_HEAD_BYTES
-        )
-    except OSError as error:
-        raise SocketError(endpoint, str(error)) from error
-    try:
-        yield
-    finally:
-        server.close()
-
-
-async def _serve(
-    handlers: Mapping[str, Handle],
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    try:
-        await _serve_requests(reader, writer, handlers)
-    except _FAULTS:
-        # A caller that is slow, gone or malformed gets no answer.
-        return
-    finally:
-        writer.close()
+    return open_server(endpoint, partial(_serve_requests, handlers))
 
 
 async def _serve_requests(
+    handlers: Mapping[str, Handle],
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
-    handlers: Mapping[str, Handle],
 ) -> None:
     while True:
         async with asyncio.timeout(IDLE_TIMEOUT_S):
