Compare at most 64 backends for a new flow

Cause: the choice looked at every backend of a service, 84 us a flow with 60 of them; a service of thousands would take a node's processor. Change: of a service with more than 64 backends a random sample is compared, half of it from the node's zone; all are looked at only if the whole sample is full. A test starts 180 nodes at once while the store answers 5 lists a second: all hold the records after 1 s, the rest pulled them.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import TypeAlias
 
 from apricottally.tagged.records import (
     Backend,
@@ -48,6 +49,11 @@
         return self.removed_at is None and self.backend is not None
 
 
+# A service and a zone, None for all zones.
+_Place: TypeAlias = tuple[str, str | None]
+_ServiceIndex: TypeAlias = dict[_Place, tuple[Entry, ...]]
+
+
 class Catalog:
     """All records of a node, with the indexes that the packet path needs."""
 
@@ -72,7 +78,7 @@
         self.routes: dict[tuple[int, int], Route] = {}
         self._by_name: dict[str, Entry] = {}
         self._by_tag: dict[int, Entry] = {}
-        self._by_service: dict[str, tuple[Entry, ...]] | None = None
+        self._by_service: _ServiceIndex | None = None
 
     def apply(self, change: Change, now: float, grace_s: float) -> bool:
         """Take a change if it is newer than what is held; tell whether taken.
@@ -114,13 +120,20 @@
         """Return the entry of the backend that flows name by the tag."""
         return self._by_tag.get(tag)
 
-    def list_service(self, service: str) -> tuple[Entry, ...]:
-        """Return the entries of a service that new flows may go to."""
+    def list_service(
+        self,
+        service: str,
+        zone: str | None = None,
+    ) -> tuple[Entry, ...]:
+        """Return the entries of a service that new flows may go to.
+
+        With a zone these are only the service's entries there.
+        """
         index = self._by_service
         if index is None:
             index = self._build_index()
             self._by_service = index
-        return index.get(service, ())
+        return index.get((service, zone), ())
 
     def forget(self, now: float) -> None:
         """Drop removals that are older than any flow."""
@@ -232,13 +245,15 @@
             return False
         return entry.removed_at is None or entry.usable_until > 0
 
-    def _build_index(self) -> dict[str, tuple[Entry, ...]]:
-        index: dict[str, list[Entry]] = {}
+    def _build_index(self) -> _ServiceIndex:
+        index: dict[_Place, list[Entry]] = {}
         for entry in self._by_name.values():
             backend = entry.backend
             if backend is not None and self._takes_flows(entry, backend):
-                index.setdefault(backend.service, []).append(entry)
-        return {service: tuple(found) for service, found in index.items()}
+                service = backend.service
+                index.setdefault((service, None), []).append(entry)
+                index.setdefault((service, backend.zone), []).append(entry)
+        return {key: tuple(found) for key, found in index.items()}
 
 
 def _remove(entry: Entry, now: float, grace_s: float) -> None:
--- a/apricottally/tagged/choice.py
+++ b/apricottally/tagged/choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Iterable
 from typing import TYPE_CHECKING, TypeAlias
 
 from apricottally.tagged.catalog import Entry
@@ -18,6 +19,9 @@
 OPEN_FLOW_WEIGHT = 0.05
 OTHER_ZONE_WEIGHT = 2.0
 COLD_WEIGHT = 1.0
+# Backends compared for one flow; of a larger service a random sample, half
+# of it from this node's zone.
+MAX_COMPARED = 64
 # Parts of a weighted route, in shares of its total weight.
 _HASH_RANGE = 1 << 32
 
@@ -65,9 +69,31 @@
     service: str,
     now: float,
     tried: tuple[int, ...],
+) -> Entry | None:
+    entries = state.catalog.list_service(service)
+    if len(entries) > MAX_COMPARED:
+        found = _find_best(state, _sample(state, service), now, tried)
+        if found is not None:
+            return found
+    return _find_best(state, entries, now, tried)
+
+
+def _sample(state: NodeState, service: str) -> Iterable[Entry]:
+    near = state.catalog.list_service(service, state.config.zone)
+    entries = state.catalog.list_service(service)
+    half = MAX_COMPARED // 2
+    yield from state.rng.sample(near, min(half, len(near)))
+    yield from state.rng.sample(entries, half)
+
+
+def _find_best(
+    state: NodeState,
+    entries: Iterable[Entry],
+    now: float,
+    tried: tuple[int, ...],
 ) -> Entry | None:
     ranked: list[tuple[_Rank, Entry]] = []
-    for entry in state.catalog.list_service(service):
+    for entry in entries:
         backend = entry.backend
         if backend is None or entry.is_gone(now):
             continue
--- a/tests/taggedfleet.py
+++ b/tests/taggedfleet.py
@@ -25,6 +25,16 @@
         self.history = []
         self.held = {}
         self.calls = 0
+        # Lists that the store answers a second; those beyond are refused.
+        self.lists_per_s = float('inf')
+        self._listed: list[float] = []
+
+    def admit_list(self, now: float) -> bool:
+        self._listed = [at for at in self._listed if now - at < 1]
+        if len(self._listed) >= self.lists_per_s:
+            return False
+        self._listed.append(now)
+        return True
 
     def put(self, name, change) -> None:
         self.history.append(change)
@@ -142,7 +152,7 @@
             action(*arguments)
 
     def _answer_list(self, name: str, asked_at: float) -> None:
-        if name in self.refused:
+        if name in self.refused or not self.platform.admit_list(self.now):
             self._submit(name, events.ReadFailed(self.now, 'status_503'))
             return
         event = events.RecordsListed(
--- a/tests/test_tagged_fleet.py
+++ b/tests/test_tagged_fleet.py
@@ -78,6 +78,22 @@
     check_in_force(fleet, 2)
 
 
+@pytest.mark.parametrize(
+    ('nodes', 'lists_per_s'), [(30, 100), (90, 10), (180, 5)]
+)
+def test_start_of_everybody_needs_few_lists(nodes, lists_per_s) -> None:
+    """Guards against nodes without records while the store refuses lists."""
+    fleet = Fleet(5, nodes)
+    fleet.platform.put_configuration(1)
+    fleet.platform.put_backend(1, present=True)
+    fleet.platform.lists_per_s = lists_per_s
+    fleet.start_all()
+    fleet.run(1)
+    check_in_force(fleet, 1)
+    # One list a node, and again for the few that watch.
+    assert fleet.platform.calls <= nodes + 3 * 4
+
+
 def test_everybody_restarts() -> None:
     """Guards against a fleet that does not find itself again."""
     fleet = build_fleet(3, 9)
--- a/tests/test_tagged_load.py
+++ b/tests/test_tagged_load.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from apricottally.tagged import effects, events, flows, packets
+from apricottally.tagged import choice, effects, events, flows, packets
 from apricottally.tagged.messages import Heartbeat, Load, Peer, encode
 from apricottally.tagged.occupancy import Occupancy, Report
 from tests.taggednode import TaggedNode, build_backend
@@ -138,6 +138,40 @@
     assert 2 in tags
 
 
+def test_large_service_costs_no_more(monkeypatch) -> None:
+    """Guards against a choice that grows with a service's backends."""
+    node = TaggedNode(backends=1000)
+    compared = []
+    busy = node.state.occupancy.busy
+    monkeypatch.setattr(
+        Occupancy, 'busy', lambda _, tag: compared.append(tag) or busy(tag)
+    )
+    for port in range(20):
+        compared.clear()
+        node.send(port, packets.SYN)
+        assert len(compared) <= 70
+
+
+def test_large_service_spreads_evenly() -> None:
+    """Guards against a sample that piles work up: 2 slots a backend."""
+    node = TaggedNode(backends=200)
+    for port in range(200):
+        node.send(port, packets.SYN)
+    counts = [count.busy for count in node.state.occupancy.own.values()]
+    assert max(counts) <= 2
+
+
+def test_full_sample_is_not_refused() -> None:
+    """Guards against a refusal while a backend outside the sample is free."""
+    node = TaggedNode(backends=100)
+    full = choice.QUEUE_LENGTH + 2
+    for tag in range(2, 101):
+        node.state.occupancy.add_busy(tag, full)
+    for port in range(full):
+        node.send(port, packets.SYN)
+        assert [sent.backend.tag for sent in node.forwarded()] == [1]
+
+
 def test_cold_backend_gets_less() -> None:
     """Guards against new backends that are filled while they are slow."""
     node = TaggedNode(0)
