Refuse counts below 1 and start the tool as a module

Cause: `make soak STEPS=-1` ran nothing and said passed; `python -m apricottally` did not start the operators' tool.

--- /dev/null
+++ b/apricottally/__main__.py
@@ -0,0 +1,6 @@
+"""The operators' tool as a module: `python -m apricottally`."""
+
+from apricottally.commands import main
+
+if __name__ == '__main__':
+    main()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 import argparse
 import sys
 
+from soak.arguments import parse_count
 from soak.faults import BY_NAME
 from soak.runs import Run, RunError
 
@@ -18,8 +19,10 @@
     """Run one seed, or several in a row."""
     parser = argparse.ArgumentParser(prog='soak', description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--seeds', type=int, default=1, help='seeds in a row')
-    parser.add_argument('--steps', type=int, default=600)
+    parser.add_argument(
+        '--seeds', type=parse_count, default=1, help='seeds in a row'
+    )
+    parser.add_argument('--steps', type=parse_count, default=600)
     parser.add_argument(
         '--faults',
         nargs='*',
--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from pathlib import Path
 
+from soak.arguments import parse_count
 from tests.faults.ends import Ledger
 from tests.faults.faults import FAULTS
 from tests.faults.world import CALM_S, SERVICES, World
@@ -19,10 +20,10 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(prog='faults', description=__doc__)
-    parser.add_argument('--seed', type=_count, default=1)
-    parser.add_argument('--runs', type=_count, default=1)
-    parser.add_argument('--seconds', type=_count, default=20)
-    parser.add_argument('--nodes', type=_count, default=4)
+    parser.add_argument('--seed', type=parse_count, default=1)
+    parser.add_argument('--runs', type=parse_count, default=1)
+    parser.add_argument('--seconds', type=parse_count, default=20)
+    parser.add_argument('--nodes', type=parse_count, default=4)
     options = parser.parse_args()
     failed = []
     for seed in range(options.seed, options.seed + options.runs):
@@ -122,12 +123,5 @@
     print(f'seed {seed}: logs of the nodes are in {kept}')
 
 
-def _count(word: str) -> int:
-    value = int(word)
-    if value < 1:
-        raise argparse.ArgumentTypeError('must be 1 or more')
-    return value
-
-
 if __name__ == '__main__':
     main()
