--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -1,9 +1,17 @@
 """Tools as a new user starts them."""
 
 import runpy
+import signal
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from types import ModuleType
 
 import pytest
 
+ROOT = Path(__file__).resolve().parent.parent
+
 
 def start(monkeypatch, module: str, *arguments: str) -> object:
     """Run a module as `python -m` does; return its exit status or message."""
@@ -37,3 +45,28 @@
     """Guards against a package that cannot be started as a module."""
     assert start(monkeypatch, 'apricottally', '--help') == 0
     assert 'publish' in capsys.readouterr().out
+
+
+def test_reload_signal_during_load(monkeypatch) -> None:
+    """Guards against a process that SIGHUP ends while it loads (status 129)."""
+    loaded = []
+
+    class Process(ModuleType):
+        def __getattr__(self, name: str):
+            loaded.append(signal.getsignal(signal.SIGHUP))
+            return int
+
+    monkeypatch.setitem(
+        sys.modules, 'fleetnode.process', Process('fleetnode.process')
+    )
+    monkeypatch.setattr(sys, 'path', sys.path.copy())
+    with kept_handler(signal.SIGHUP):
+        runpy.run_path(str(ROOT / 'platform' / 'main.py'), run_name='__main__')
+    assert signal.SIG_IGN in loaded
+
+
+@contextmanager
+def kept_handler(number: signal.Signals) -> Iterator[None]:
+    before = signal.getsignal(number)
+    yield
+    signal.signal(number, before)
