--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 import tempfile
 from contextlib import suppress
@@ -41,7 +42,14 @@
     async with open_fleet_store() as store:
         with tempfile.TemporaryDirectory() as folder:
             world = World(seed, nodes, Path(folder), store)
-            names = await play(world, seconds)
+            task = asyncio.current_task()
+            asyncio.get_running_loop().add_signal_handler(
+                signal.SIGTERM, task.cancel
+            )
+            try:
+                names = await play(world, seconds)
+            finally:
+                world.kill()
             if world.ledger.broken:
                 keep_logs(seed, Path(folder))
     return world.ledger, names
--- a/tests/faults/faults.py
+++ b/tests/faults/faults.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from tests.faults.proxy import DIRECTIONS, Link
 from tests.faults.world import World
 
 
@@ -60,6 +61,39 @@
     world.store.mode = 'good'
 
 
+async def cut_store_one_way(world: World) -> None:
+    links = _pick_links(world)
+    direction = world.rng.choice(DIRECTIONS)
+    for link in links:
+        link.cut(direction)
+    await _mend_later(world, links)
+
+
+async def slow_store(world: World) -> None:
+    links = _pick_links(world)
+    for link in links:
+        link.delay_s = world.rng.uniform(0.02, 0.8)
+    await _mend_later(world, links)
+
+
+async def reset_store_connections(world: World) -> None:
+    for _ in range(world.rng.randint(1, 5)):
+        for link in _pick_links(world):
+            link.reset()
+        await asyncio.sleep(world.rng.uniform(0, 0.5))
+
+
+def _pick_links(world: World) -> list[Link]:
+    count = world.rng.randint(1, len(world.nodes))
+    return [node.link for node in world.rng.sample(world.nodes, count)]
+
+
+async def _mend_later(world: World, links: list[Link]) -> None:
+    await asyncio.sleep(world.rng.uniform(0.5, 5))
+    for link in links:
+        link.mend()
+
+
 async def drop_history(world: World) -> None:
     world.store.mode = 'no_such_history'
     world.store.history.clear()
@@ -109,6 +143,9 @@
     cut,
     lose_packets,
     fail_store,
+    cut_store_one_way,
+    slow_store,
+    reset_store_connections,
     drop_history,
     configure,
     crash_backend,
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -10,6 +10,7 @@
 
 from tests.faults import ends
 from tests.faults.ends import Backend, Client, Ledger
+from tests.faults.proxy import Link
 from tests.fleetstore import FleetStore
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -33,6 +34,7 @@
         self.cut = False
         self.frozen = False
         self.stopping = False
+        self.link = Link(world.store.endpoint)
 
     async def start(self) -> None:
         path = self.world.folder / f'{self.name}.toml'
@@ -90,7 +92,6 @@
     def _settings(self) -> str:
         world = self.world
         seeds = ', '.join(f'"{node.ip}:{world.port}"' for node in world.nodes)
-        store = f'{world.store.endpoint[0]}:{world.store.endpoint[1]}'
         return f"""
 node-name = "{self.name}"
 ip = "{self.ip}"
@@ -104,7 +105,7 @@
 config-apply-ms = 3000
 grace-s = {STOP_S}
 [platform]
-address = "{store}"
+address = "{self.ip}:{world.port + 4}"
 """
 
 
@@ -146,13 +147,20 @@
             self._transports.append(transport)
             self.clients.append(client)
         for node in self.nodes:
+            await node.link.open(node.ip, self.port + 4)
             await node.start()
 
     async def close(self) -> None:
         await asyncio.gather(*(node.stop(self.ledger) for node in self.nodes))
+        await asyncio.gather(*(node.link.close() for node in self.nodes))
         for transport in self._transports:
             transport.close()
 
+    def kill(self) -> None:
+        """End what still runs, after an interrupted run."""
+        for node in self.nodes:
+            node.signal(signal.SIGKILL)
+
     def publish(self) -> None:
         """Write a new configuration, with other routes beside the two."""
         self.version += self.rng.randint(1, 3)
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -16,6 +16,7 @@
 def start(monkeypatch, module: str, *arguments: str) -> object:
     """Run a module as `python -m` does; return its exit status or message."""
     monkeypatch.setattr('sys.argv', [module, *arguments])
+    monkeypatch.delitem(sys.modules, f'{module}.__main__', raising=False)
     with pytest.raises(SystemExit) as ended:
         runpy.run_module(module, run_name='__main__')
     return ended.value.code
