--- a/apricottally/tagged/occupancy.py
+++ b/apricottally/tagged/occupancy.py
@@ -25,12 +25,13 @@
 
 @dataclass(slots=True)
 class Report:
-    """What a neighbour reported last."""
+    """What a neighbour reported last; it counts for `life_s`."""
 
     at: float
     incarnation: int
     sequence: int
     loads: tuple[Load, ...]
+    life_s: float = REPORT_LIFE_S
 
 
 @dataclass(slots=True)
@@ -95,7 +96,7 @@
         silent = [
             name
             for name, report in self.reports.items()
-            if now - report.at > REPORT_LIFE_S
+            if now - report.at > report.life_s
         ]
         for name in silent:
             self.drop_report(name)
