Leave the backends' queues to the most urgent class

Cause: in a flood the backends' queues of 8 were always full, so nearly all answers came late, and requests of open flows, which cannot be refused, crowded out urgent new flows. Change: of the classes that have traffic at a service the most urgent may queue 12 requests, so that the backend decides; others 1; a sole class 4. Tried: a sole limit of 8, 4, 2 or 1 for all, and 12 with 8, 4, 2, 1 or 0 for the others; a class by its mere presence, which let test requests defer the rest.

--- a/apricottally/tagged/choice.py
+++ b/apricottally/tagged/choice.py
@@ -12,8 +12,13 @@
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
 
-# Requests that a backend queues beyond its slots before it sheds.
-QUEUE_LENGTH = 8
+# Requests that may wait for a slot of a backend when a new flow is sent there;
+# behind more the answer would be late. Where a service has several classes of
+# urgency, the less urgent ones leave the queue to the most urgent, and for that
+# the backend itself decides whether it is full.
+QUEUE_LENGTH = 4
+URGENT_QUEUE_LENGTH = 12
+DEFERRED_QUEUE_LENGTH = 1
 # Weights in requests in progress: an open flow, a backend of another zone,
 # and one that is still slow after its start.
 OPEN_FLOW_WEIGHT = 0.05
@@ -42,12 +47,29 @@
     None if no backend is known or all would shed the flow.
     """
     for service in order_services(route, key):
-        found = _choose_of(state, service, now, tried)
+        limit = _limit_queue(state, route, service, now)
+        found = _choose_of(state, service, now, tried, limit)
         if found is not None:
             return found
     return None
 
 
+def _limit_queue(
+    state: NodeState,
+    route: Route,
+    service: str,
+    now: float,
+) -> int:
+    """Return how many requests of a route may wait at a backend."""
+    state.demand.note(service, route.priority, now)
+    priorities = state.demand.list_priorities(service)
+    if len(priorities) == 1:
+        return QUEUE_LENGTH
+    if route.priority <= priorities[0]:
+        return URGENT_QUEUE_LENGTH
+    return DEFERRED_QUEUE_LENGTH
+
+
 def order_services(route: Route, key: bytes) -> list[str]:
     """Return the services of a route, the one that the key draws first."""
     targets = [target for target in route.targets if target.weight > 0]
@@ -69,13 +91,14 @@
     service: str,
     now: float,
     tried: tuple[int, ...],
+    limit: int,
 ) -> Entry | None:
     entries = state.catalog.list_service(service)
     if len(entries) > MAX_COMPARED:
-        found = _find_best(state, _sample(state, service), now, tried)
+        found = _find_best(state, _sample(state, service), now, tried, limit)
         if found is not None:
             return found
-    return _find_best(state, entries, now, tried)
+    return _find_best(state, entries, now, tried, limit)
 
 
 def _sample(state: NodeState, service: str) -> Iterable[Entry]:
@@ -91,6 +114,7 @@
     entries: Iterable[Entry],
     now: float,
     tried: tuple[int, ...],
+    limit: int,
 ) -> Entry | None:
     ranked: list[tuple[_Rank, Entry]] = []
     for entry in entries:
@@ -98,7 +122,7 @@
         if backend is None or entry.is_gone(now):
             continue
         busy = state.occupancy.busy(backend.tag)
-        if busy >= backend.slots + QUEUE_LENGTH:
+        if busy >= backend.slots + limit:
             continue
         suspicion = _grade_suspicion(state, backend, now, tried)
         score = _score(state, entry, backend, busy, now)
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -12,6 +12,7 @@
 from apricottally.invariants import Invariants
 from apricottally.tagged.answertime import AnswerTime
 from apricottally.tagged.catalog import Catalog, Entry
+from apricottally.tagged.demand import Demand
 from apricottally.tagged.durations import Durations
 from apricottally.tagged.flows import FlowTable
 from apricottally.tagged.freshness import Freshness
@@ -67,6 +68,7 @@
         self.flows = FlowTable(self.occupancy)
         self.answer_time = AnswerTime()
         self.durations = Durations()
+        self.demand = Demand()
         self.reading = Reading()
         own = Peer(
             config.name,
