Split membership into messages, probes and suspects

Change: pings and their failures stand in probes.py, suspicions that lapse in suspects.py; functions and constants are unchanged.

--- a/apricottally/membership.py
+++ b/apricottally/membership.py
@@ -9,53 +9,40 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from apricottally import memberlist, messages, peers, repair
+from apricottally import (
+    memberlist,
+    messages,
+    peers,
+    probes,
+    repair,
+    suspects,
+)
 from apricottally.addresses import PEER_PORT, Endpoint
 from apricottally.effects import Effect, SendPeer
 from apricottally.events import Ticked
 from apricottally.members import Member, MemberState
 from apricottally.messages import Ack, Gossip, Ping, PingRequest, View
 from apricottally.swim import (
-    RECHECK_S,
-    SUSPICION_S,
     Probe,
     learn,
     put,
     rank,
-    suspect,
-    suspect_zone,
 )
 
 if TYPE_CHECKING:
     from apricottally.state import NodeState
 
 PING_PERIOD_S = 1.0
-# Within a region an answer takes a few milliseconds.
-DIRECT_TIMEOUT_S = 0.3
-PROBE_TIMEOUT_S = 0.7
-INDIRECT_PROBES = 3
-# Zones may be cut off for an hour; until then a dead node is tried again.
-FORGET_S = 7200.0
 # Mean time between tries to reach a dead member or an unknown seed.
 CONTACT_PERIOD_S = 4.0
 JOIN_PERIOD_S = 0.5
 # A gap between ticks that shows that this process did not run.
 PAUSE_S = 1.0
-# A suspect owns its shards for so long: a longer time delays new flows after a
-# kill, a shorter one moves owners for each lost datagram.
-OWNER_GRACE_S = 0.5
 GOSSIP_PEERS = 3
-# Probes of another zone in a row that fail before all of it is suspected.
-ZONE_FAILURES = 6
-# Members pinged after the first failure; some may die of other news.
-ZONE_PROBES = 8
-# A ping with few changes.
-PING_BYTES = 200
 
 
 def tick(state: NodeState, event: Ticked) -> list[Effect]:
@@ -68,9 +55,9 @@
         _resume(state, now, now - swim.last_tick)
     swim.last_tick = now
     swim.peers.refresh(state.members)
-    effects = _check_probes(state, now)
-    effects += _check_suspects(state, now)
-    effects += _recheck_suspects(state, now)
+    effects = probes.check(state, now)
+    effects += suspects.check(state, now)
+    effects += suspects.recheck(state, now)
     if now >= swim.next_ping:
         swim.next_ping = now + PING_PERIOD_S
         effects += _ping_next(state, now)
@@ -94,14 +81,14 @@
     told: tuple[Member, ...] = ()
     if held is not None and rank(held) > rank(message.sender):
         told = (held,)
-    _hear_zone(state, now, message.sender.zone)
+    probes.hear_zone(state, now, message.sender.zone)
     effects = learn(state, now, (message.sender, *message.updates))
     effects += _note_view(state, now, source, message.view)
     answer = Ack(
         message.seq,
         state.members.own,
-        build_view(state),
-        told + _take_updates(state),
+        probes.build_view(state),
+        told + probes.take_updates(state),
     )
     effects.append(SendPeer(source, messages.encode(answer)))
     return effects
@@ -115,7 +102,7 @@
 ) -> list[Effect]:
     """Close the probe, and pass the answer on if another node asked."""
     swim = state.control.swim
-    _hear_zone(state, now, message.sender.zone)
+    probes.hear_zone(state, now, message.sender.zone)
     effects = learn(state, now, (message.sender, *message.updates))
     probe = swim.probes.pop(message.seq, None)
     if probe is None:
@@ -126,7 +113,7 @@
     effects += _note_view(state, now, source, message.view)
     if probe.asker is not None:
         endpoint, seq = probe.asker
-        answer = Ack(seq, message.sender, build_view(state))
+        answer = Ack(seq, message.sender, probes.build_view(state))
         effects.append(SendPeer(endpoint, messages.encode(answer)))
     return effects
 
@@ -139,7 +126,7 @@
 ) -> list[Effect]:
     """Ping the target for another node."""
     probe = Probe(message.target.name, now, asker=(source, message.seq))
-    return [_ping(state, message.target.peer, probe)]
+    return [probes.ping(state, message.target.peer, probe)]
 
 
 def receive_gossip(
@@ -160,16 +147,6 @@
     return _gossip(state, now)
 
 
-def build_view(state: NodeState) -> View:
-    """Return what this node tells of its state in pings."""
-    return View(
-        state.records.revision,
-        state.records.digest(),
-        state.control.swim.digest,
-        state.control.repair.ready,
-    )
-
-
 def _note_view(
     state: NodeState,
     now: float,
@@ -205,129 +182,6 @@
     state.counters.add('member', 'paused')
 
 
-def _check_probes(state: NodeState, now: float) -> list[Effect]:
-    """Ask others about late answers, and suspect who did not answer them."""
-    probes = state.control.swim.probes
-    effects: list[Effect] = []
-    late = [
-        (seq, probe)
-        for seq, probe in probes.items()
-        if now - probe.sent >= DIRECT_TIMEOUT_S
-    ]
-    for seq, probe in late:
-        if now - probe.sent >= PROBE_TIMEOUT_S:
-            probes.pop(seq)
-            effects += _fail_probe(state, now, probe)
-        elif not (probe.indirect or probe.contact or probe.asker):
-            probe.indirect = True
-            effects += _ask_others(state, seq, probe.name)
-    return effects
-
-
-def _fail_probe(state: NodeState, now: float, probe: Probe) -> list[Effect]:
-    """Suspect a member, and its whole zone if nothing comes from there."""
-    if probe.asker is not None:
-        return []
-    effects: list[Effect] = []
-    if not probe.contact:
-        effects += suspect(state, now, probe.name)
-    member = state.members.members.get(probe.name)
-    if member is None or member.zone == state.config.zone:
-        return effects
-    swim = state.control.swim
-    if probe.sent <= swim.heard.get(member.zone, -math.inf):
-        return effects
-    silent = swim.silent
-    failures = silent.get(member.zone, 0) + 1
-    if probe.contact and (failures > 1 or member.state is MemberState.dead):
-        # Suspects of one lost rack are asked again all at once.
-        return effects
-    silent[member.zone] = failures
-    if failures == 1:
-        effects += _probe_zone(state, now, member.zone)
-    if failures >= ZONE_FAILURES:
-        effects += suspect_zone(state, now, member.zone)
-    return effects
-
-
-def _hear_zone(state: NodeState, now: float, zone: str) -> None:
-    """Note that a zone is not cut off."""
-    state.control.swim.heard[zone] = now
-    state.control.swim.silent.pop(zone, None)
-
-
-def _probe_zone(state: NodeState, now: float, zone: str) -> list[Effect]:
-    """Ping a few members of a zone at once, to learn whether it is cut."""
-    members = [
-        member
-        for member in state.control.swim.peers.other_zones
-        if member.zone == zone
-    ]
-    state.rng.shuffle(members)
-    # Suspects are asked only where too few others are left.
-    members.sort(key=lambda member: member.state)
-    chosen = members[:ZONE_PROBES]
-    return [
-        _ping(state, member.peer, Probe(member.name, now)) for member in chosen
-    ]
-
-
-def _ask_others(state: NodeState, seq: int, name: str) -> list[Effect]:
-    target = state.members.members.get(name)
-    if target is None:
-        return []
-    payload = messages.encode(PingRequest(seq, target))
-    silent = state.control.swim.silent
-    others = [
-        member
-        for member in state.control.swim.peers.everywhere
-        if member.name != name and member.zone not in silent
-    ]
-    return [
-        SendPeer(member.peer, payload)
-        for member in peers.choose(state.rng, others, INDIRECT_PROBES)
-    ]
-
-
-def _check_suspects(state: NodeState, now: float) -> list[Effect]:
-    """Declare lapsed suspects dead and forget nodes that died long ago."""
-    swim = state.control.swim
-    effects: list[Effect] = []
-    for name, suspicion in swim.suspects.items():
-        if suspicion.deadline - SUSPICION_S + OWNER_GRACE_S <= now:
-            state.members.doubt(name)
-    lapsed = [
-        name
-        for name, suspicion in swim.suspects.items()
-        if suspicion.deadline <= now
-    ]
-    for name in lapsed:
-        spread = swim.suspects.pop(name).spread
-        held = state.members.members[name]
-        update = msgspec.structs.replace(held, state=MemberState.dead)
-        effects += learn(state, now, (update,), spread=spread)
-    old = [name for name, at in swim.dead.items() if at + FORGET_S <= now]
-    for name in old:
-        swim.dead.pop(name)
-        state.members.remove(name)
-    return effects
-
-
-def _recheck_suspects(state: NodeState, now: float) -> list[Effect]:
-    """Ask suspects themselves, in case their refutation was lost."""
-    swim = state.control.swim
-    effects: list[Effect] = []
-    for name, suspicion in swim.suspects.items():
-        if now < suspicion.recheck:
-            continue
-        suspicion.recheck = now + RECHECK_S
-        target = state.members.members[name]
-        if swim.gossip_budget.take(now, PING_BYTES):
-            probe = Probe(name, now, contact=True)
-            effects.append(_ping(state, target.peer, probe))
-    return effects
-
-
 def _ping_next(state: NodeState, now: float) -> list[Effect]:
     """Ping the next member of a shuffled list, so that none is left out."""
     swim = state.control.swim
@@ -336,7 +190,7 @@
             name = swim.order.pop()
             target = state.members.members.get(name)
             if target is not None and target.state is not MemberState.dead:
-                return [_ping(state, target.peer, Probe(name, now))]
+                return [probes.ping(state, target.peer, Probe(name, now))]
         swim.order = [
             name
             for name, member in state.members.members.items()
@@ -352,7 +206,7 @@
     for name in state.control.swim.peers.successors:
         target = state.members.members[name]
         if target.state is MemberState.alive:
-            return [_ping(state, target.peer, Probe(name, now))]
+            return [probes.ping(state, target.peer, Probe(name, now))]
     return []
 
 
@@ -368,36 +222,14 @@
     if dead:
         target = state.rng.choice(dead)
         probe = Probe(target.name, now, contact=True)
-        effects.append(_ping(state, target.peer, probe))
+        effects.append(probes.ping(state, target.peer, probe))
     if unknown:
         probe = Probe('', now, contact=True)
         seed = state.rng.choice(unknown)
-        effects.append(_ping(state, seed, probe))
+        effects.append(probes.ping(state, seed, probe))
     return effects
 
 
-def _ping(
-    state: NodeState,
-    endpoint: Endpoint,
-    probe: Probe,
-) -> SendPeer:
-    """Ping a node, telling it if it is held to be suspect or dead."""
-    swim = state.control.swim
-    held = state.members.members.get(probe.name)
-    told: tuple[Member, ...] = ()
-    if held is not None and held.state is not MemberState.alive:
-        told = (held,)
-    swim.sequence += 1
-    swim.probes[swim.sequence] = probe
-    message = Ping(
-        swim.sequence,
-        state.members.own,
-        build_view(state),
-        told + _take_updates(state),
-    )
-    return SendPeer(endpoint, messages.encode(message))
-
-
 def _gossip(state: NodeState, now: float) -> list[Effect]:
     """Send new changes at once, as far as the budget goes."""
     swim = state.control.swim
@@ -415,8 +247,3 @@
             GOSSIP_PEERS,
         )
     ]
-
-
-def _take_updates(state: NodeState) -> tuple[Member, ...]:
-    swim = state.control.swim
-    return swim.updates.take(len(state.members.members))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from apricottally import memberlist, membership, messages, swim
+from apricottally import memberlist, messages, suspects, swim
 from apricottally.effects import SendPeer
 from apricottally.errors import InvariantError, WireError
 from apricottally.events import (
@@ -190,7 +190,7 @@
 
 def test_dead_node_is_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a table that grows with every replaced node."""
-    monkeypatch.setattr(membership, 'FORGET_S', 20)
+    monkeypatch.setattr(suspects, 'FORGET_S', 20)
     mesh = run_joined(1, {'a': 10}, Faults())
     mesh.kill('node-a-0003')
     mesh.run(10)
@@ -324,7 +324,7 @@
 
     mesh.run_until(lambda: name in state.control.swim.suspects, 6)
     assert owns()
-    mesh.run(membership.OWNER_GRACE_S + 0.2)
+    mesh.run(suspects.OWNER_GRACE_S + 0.2)
     assert not owns()
     assert name in {member.name for member in state.members.eligible()}
     mesh.start(name)
