Explain every broken flow of the soak by its cause

Change: a caller reports when a broken flow began and ended; the audit looks for a crash of its backend or a cut zone in that time, counts by cause, and fails the run for a flow without one. Two tests, failing before.

--- a/soak/audit.py
+++ b/soak/audit.py
@@ -3,9 +3,13 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from soak.deployment import BACKENDS
 from soak.world import World
+from standins.clientwork import BrokenFlow
 from standins.server import Entry
 
+UNEXPLAINED = 'nothing known'
+
 
 @dataclass(frozen=True, slots=True)
 class Findings:
@@ -33,6 +37,10 @@
     ]
     if tally['broken'] and not may_break:
         broken.append(f'broken: {tally["broken"]}')
+    causes = count_causes(world, entries)
+    tally.update({f'broken by {cause}': causes[cause] for cause in causes})
+    if causes[UNEXPLAINED]:
+        broken.append(f'broken without a cause: {causes[UNEXPLAINED]}')
     if tally['running']:
         broken.append(f'without end: {tally["running"]}')
     broken += find_wrong_runs(world, entries)
@@ -44,6 +52,34 @@
     return Findings(tally, sum_reasons(world), tuple(broken), faults)
 
 
+def count_causes(world: World, entries: list[Entry]) -> Counter[str]:
+    """Count broken flows by the fault that explains each of them."""
+    places = {plan.config.name: plan.config.ip for plan in BACKENDS}
+    ran_at = {entry.id: places[entry.backend] for entry in entries}
+    return Counter(
+        find_cause(world, flow, ran_at.get(flow.id))
+        for client in world.clients.values()
+        for flow in client.report().broken
+    )
+
+
+def find_cause(world: World, flow: BrokenFlow, ip: str | None) -> str:
+    """Return the fault that a broken flow met while it was open.
+
+    A flow whose request never began at a backend may have been at any.
+    """
+    crashed = [ip] if ip else list(world.crashes)
+    times = [at for each in crashed for at in world.crashes.get(each, ())]
+    if any(flow.started_s <= at <= flow.ended_s for at in times):
+        return 'crash'
+    if any(
+        cut.started_s <= flow.ended_s and cut.ended_s >= flow.started_s
+        for cut in world.cuts
+    ):
+        return 'cut'
+    return UNEXPLAINED
+
+
 def sum_tallies(world: World) -> Counter[str]:
     """Return the callers' counts over all work."""
     summed: Counter[str] = Counter()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -54,9 +54,7 @@
 
 def cut(world: World) -> End:
     """Cut a zone off from the others and from the platform."""
-    zones = frozenset((world.rng.choice(sorted(ZONES)),))
-    world.mesh.cuts.append(zones)
-    return lambda: world.mesh.cuts.remove(zones)
+    return world.cut_zones(frozenset((world.rng.choice(sorted(ZONES)),)))
 
 
 def stop_platform(world: World) -> End:
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,6 +1,9 @@
 """Nodes, backends and callers joined by a fake fabric over simulated time."""
 
 import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
 
 from apricottally import model
 from apricottally.effects import Effect, Exit, PollLoad, SendPacket
@@ -30,6 +33,14 @@
 START_S = 16.0
 
 
+@dataclass(slots=True)
+class Interval:
+    """A span of simulated time that may not have ended."""
+
+    started_s: float
+    ended_s: float = float('inf')
+
+
 class PacketMesh(Mesh):
     """A mesh that gives packets and polls to the world around it."""
 
@@ -62,6 +73,9 @@
         self.fabric = self.network.fabric
         self.mesh = PacketMesh(seed, self.network)
         self.network.join(self.mesh)
+        # When each backend crashed, by address, and when zones were cut off.
+        self.crashes: dict[str, list[float]] = {}
+        self.cuts: list[Interval] = []
         for plan in BACKENDS:
             self.start_backend(plan)
             self.list_machine(plan, MachineState.live)
@@ -98,8 +112,16 @@
         former = self.hosts.get(plan.config.ip)
         if former is not None:
             server.journal = former.server.journal
+            self.crashes.setdefault(plan.config.ip, []).append(self.now)
         self.hosts[plan.config.ip] = Host(plan, server)
 
+    def cut_zones(self, zones: frozenset[str]) -> Callable[[], None]:
+        """Cut zones off from the others; return what ends the cut."""
+        interval = Interval(self.now)
+        self.cuts.append(interval)
+        self.mesh.cuts.append(zones)
+        return partial(self._mend_zones, zones, interval)
+
     def list_machine(self, plan: BackendPlan, state: MachineState) -> None:
         """Put a backend on the platform's list."""
         config = plan.config
@@ -125,6 +147,10 @@
         if node is not None:
             self.mesh.feed(name, node, ShutdownRequested(self.now))
 
+    def _mend_zones(self, zones: frozenset[str], interval: Interval) -> None:
+        self.mesh.cuts.remove(zones)
+        interval.ended_s = self.now
+
     def _publish_all(self) -> None:
         for name, template in TEMPLATES.items():
             self.publish(f'{model.TEMPLATE_PREFIX}{name}', template)
--- a/standins/client.py
+++ b/standins/client.py
@@ -7,7 +7,7 @@
 
 from standins import protocol
 from standins.answers import AnswerCheck, Finding
-from standins.clientwork import ClientReport, Stream, Work
+from standins.clientwork import BrokenFlow, ClientReport, Stream, Work
 from standins.protocol import Kind, Request
 from standins.stack import Stack
 from standins.tcp import Connection, Outcome, State
@@ -61,6 +61,7 @@
         self._timers = Timers()
         self._streams = [Stream(work, started) for work in config.works]
         self._report = ClientReport({}, 0, [], [], [], [])
+        self._now = started
 
     @property
     def deadline(self) -> float:
@@ -72,12 +73,14 @@
 
     def receive(self, now: float, inner: bytes) -> None:
         """Handle an inner packet."""
+        self._now = now
         connection = self.stack.receive(now, inner)
         if connection is not None:
             self._look_at(now, connection)
 
     def tick(self, now: float) -> None:
         """Start new flows and run what is due."""
+        self._now = now
         for connection in self.stack.tick(now):
             self._look_at(now, connection)
         while timer := self._timers.pop(now):
@@ -211,6 +214,9 @@
             'refused': self._report.refused_ids,
             'unanswered': self._report.unanswered_ids,
         }.get(ended)
+        if ended == 'broken':
+            broken = BrokenFlow(task.request.id, task.started, self._now)
+            self._report.broken.append(broken)
         if ids is not None:
             ids.append(task.request.id)
         elif len(self._report.faults) < _MAX_FAULTS:
--- a/standins/clientwork.py
+++ b/standins/clientwork.py
@@ -70,6 +70,14 @@
     wait_p99_ms: int
 
 
+class BrokenFlow(msgspec.Struct, frozen=True):
+    """A flow that broke after its handshake; times are the caller's clock."""
+
+    id: str
+    started_s: float
+    ended_s: float
+
+
 class ClientReport(msgspec.Struct):
     """What a caller saw of all its work, with ids for the journals.
 
@@ -82,6 +90,7 @@
     refused_ids: list[str]
     unanswered_ids: list[str]
     faults: list[str]
+    broken: list[BrokenFlow] = msgspec.field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,8 +9,11 @@
 
 import pytest
 
+from soak.audit import UNEXPLAINED, find_cause
 from soak.faults import BY_NAME
 from soak.runs import Run, RunError
+from soak.world import Interval, World
+from standins.clientwork import BrokenFlow
 
 ALONE_STEPS = 20.0
 PAIR_STEPS = 12.0
@@ -48,6 +51,29 @@
         run.play(20)
 
 
+@pytest.mark.parametrize(
+    ('crashed_at', 'cut_at', 'cause'),
+    [(5, None, 'crash'), (None, 7, 'cut'), (1, 1, UNEXPLAINED)],
+)
+def test_broken_flow_has_a_cause(crashed_at, cut_at, cause) -> None:
+    """Guards against broken flows that faults elsewhere or before excuse."""
+    world = World(1)
+    world.crashes = {'10.2.0.9': [6]}
+    if crashed_at is not None:
+        world.crashes['10.2.0.1'] = [crashed_at]
+    if cut_at is not None:
+        world.cuts = [Interval(cut_at, cut_at + 1)]
+    flow = BrokenFlow('request', started_s=4, ended_s=8)
+    assert find_cause(world, flow, '10.2.0.1') == cause
+
+
+def test_unexplained_break_ends_a_run(monkeypatch) -> None:
+    """Guards against an audit that lets any break pass once one is allowed."""
+    monkeypatch.setattr('soak.audit.find_cause', lambda *args: UNEXPLAINED)
+    with pytest.raises(RunError, match='without a cause'):
+        Run(1, ['crash']).play(20)
+
+
 @pytest.mark.parametrize('seed', [5, 6])
 def test_same_seed_same_run(seed: int) -> None:
     """Guards against a failure that its seed does not repeat."""
