--- a/apricottally/tagged/choice.py
+++ b/apricottally/tagged/choice.py
@@ -44,7 +44,7 @@
     """Return the backend with the least work that may take the flow.
 
     Backends that were tried come last, those suspected before them. Returns
-    None if no backend is known or all would shed the flow.
+    None if no backend is known or too many requests wait at each.
     """
     for service in order_services(route, key):
         limit = _limit_queue(state, route, service, now)
