Revert the ring of heartbeats in large zones

A configuration longer than a datagram is announced by heartbeats and pulled; along the ring that takes a second a hop, and the neighbours of other zones are asked for it. A ring needs a node that has pulled to announce it at once, and pulls within the zone; both are open.

--- a/apricottally/tagged/heartbeats.py
+++ b/apricottally/tagged/heartbeats.py
@@ -10,7 +10,7 @@
 from apricottally.tagged.effects import Effect, SendPeer, WriteLog
 from apricottally.tagged.events import PeerArrived
 from apricottally.tagged.messages import Delta, Heartbeat
-from apricottally.tagged.occupancy import REPORT_LIFE_S, Report
+from apricottally.tagged.occupancy import Report
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -18,14 +18,9 @@
 # Longest and shortest time between two heartbeats.
 IDLE_PERIOD_S = 0.25
 BUSY_PERIOD_S = 0.02
-# Time between two heartbeats of a node in a large zone.
-LARGE_ZONE_PERIOD_S = 1.0
 # Shortest time between two heartbeats to other zones, whose bytes are dear.
 OTHER_ZONES_PERIOD_S = 0.1
-# Backends whose load a heartbeat tells; fewer in a large zone, where each node
-# hears only a few of the others.
 MAX_LOADS = 100
-LARGE_ZONE_LOADS = 10
 
 
 def tick(state: NodeState, now: float) -> list[Effect]:
@@ -56,20 +51,11 @@
 
 def _is_due(state: NodeState, now: float) -> bool:
     since = now - state.heartbeat_at
-    if state.heartbeat_due or since >= _period_s(state):
+    if state.heartbeat_due or since >= IDLE_PERIOD_S:
         return True
-    if state.neighbours.large:
-        return False
     return state.occupancy.changed and since >= BUSY_PERIOD_S
 
 
-def _period_s(state: NodeState) -> float:
-    """Return the longest time between two heartbeats."""
-    if state.neighbours.large:
-        return LARGE_ZONE_PERIOD_S
-    return IDLE_PERIOD_S
-
-
 def _receive_heartbeat(
     state: NodeState, heartbeat: Heartbeat, now: float
 ) -> list[Effect]:
@@ -84,7 +70,6 @@
             heartbeat.sender.incarnation,
             heartbeat.sequence,
             heartbeat.loads,
-            max(REPORT_LIFE_S, neighbour.alive_s),
         ),
     )
     if heartbeat.sender.zone == state.config.zone:
@@ -104,8 +89,7 @@
         return []
     payload = _build(state, now)
     size = len(payload) * len(targets)
-    idle = now - state.heartbeat_at >= _period_s(state)
-    urgent = state.heartbeat_due or idle
+    urgent = state.heartbeat_due or now - state.heartbeat_at >= IDLE_PERIOD_S
     if not (state.budget.take(now, size) or urgent):
         return []
     state.heartbeat_at = now
@@ -131,17 +115,15 @@
 
 def _build(state: NodeState, now: float) -> bytes:
     state.sequence += 1
-    limit = LARGE_ZONE_LOADS if state.neighbours.large else MAX_LOADS
     heartbeat = Heartbeat(
         state.neighbours.own,
         state.sequence,
         state.stopping,
         state.catalog.revision,
         state.freshness.age_ms(now),
-        state.occupancy.list_loads(limit),
+        state.occupancy.list_loads(MAX_LOADS),
         state.suspicion.list_unreachable(now),
         state.neighbours.sample_known(now, state.rng),
-        int(_period_s(state) * 1000),
     )
     return messages.encode(heartbeat)
 
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -44,7 +44,6 @@
     `revision` is up to which the node holds all records, `age_ms` the time
     since these were known to be the newest. `unreachable` are the tags of
     backends that a probe did not reach. `known` are some other nodes.
-    `period_ms` is the longest time until the next heartbeat.
     """
 
     sender: Peer
@@ -55,7 +54,6 @@
     loads: tuple[Load, ...]
     unreachable: tuple[int, ...]
     known: tuple[Peer, ...]
-    period_ms: int = 250
 
 
 class Delta(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/apricottally/tagged/neighbours.py
+++ b/apricottally/tagged/neighbours.py
@@ -1,9 +1,8 @@
 """Other nodes: who they are, what they told last, and whom to tell.
 
 A node learns of others through its seeds and through what neighbours know.
-It tells all nodes of a small fleet, else those of its zone and a few of other
-zones. In a large zone, where that would cost too much, it tells the next few
-nodes in a ring by hash, and more seldom.
+It tells all nodes of a small fleet, else those of its zone that follow it in
+a ring, and a few of other zones.
 """
 
 from __future__ import annotations
@@ -15,10 +14,8 @@
 from apricottally.addresses import Endpoint
 from apricottally.tagged.messages import Heartbeat, Peer
 
-# A node that has not been heard for longer, or for so many of the periods
-# that it keeps to, counts as gone.
+# A node that has not been heard for longer counts as gone.
 ALIVE_S = 1.2
-ALIVE_PERIODS = 3.5
 # The same for a node that only others hear.
 MENTIONED_S = 3.0
 # A node that has left is awaited back for so long.
@@ -32,9 +29,6 @@
 MESH_NODES = 16
 ZONE_MESH_NODES = 24
 OTHER_ZONE_PEERS = 2
-# Nodes of a larger zone that are told, and named to others.
-RING_PEERS = 6
-RING_KNOWN = 3
 KNOWN_PEERS = 4
 _LONG_AGO = float('-inf')
 
@@ -53,11 +47,6 @@
     sequence: int = 0
     leaving: bool = False
     revision: int = 0
-    alive_s: float = ALIVE_S
-
-    def is_alive(self, now: float) -> bool:
-        """Tell whether the node was heard lately."""
-        return now - self.heard_at < self.alive_s
 
     @property
     def endpoint(self) -> Endpoint:
@@ -73,8 +62,6 @@
     seeds: tuple[Endpoint, ...]
     by_name: dict[str, Neighbour] = field(default_factory=dict)
     contacted_at: float = _LONG_AGO
-    # Whether this node's zone is too large for all to tell all.
-    large: bool = False
 
     def hear(self, heartbeat: Heartbeat, now: float) -> tuple[Neighbour, bool]:
         """Take a heartbeat; tell whether its node is new or has restarted.
@@ -83,7 +70,7 @@
         """
         sender = heartbeat.sender
         held = self.by_name.get(sender.name)
-        fresh = held is None or not held.is_alive(now)
+        fresh = held is None or now - held.heard_at > ALIVE_S
         if held is None or held.peer.incarnation != sender.incarnation:
             held = Neighbour(sender, now)
             self.by_name[sender.name] = held
@@ -94,8 +81,6 @@
             held.sequence = heartbeat.sequence
             held.leaving = heartbeat.leaving
             held.revision = heartbeat.revision
-            period_s = heartbeat.period_ms / 1000
-            held.alive_s = max(ALIVE_S, ALIVE_PERIODS * period_s)
         for peer in heartbeat.known:
             self._mention(peer, now)
         return held, fresh
@@ -107,7 +92,8 @@
         return [
             held
             for held in self.by_name.values()
-            if held.is_alive(now) and (zone is None or held.peer.zone == zone)
+            if now - held.heard_at < ALIVE_S
+            and (zone is None or held.peer.zone == zone)
         ]
 
     def list_members(self, now: float, zone: str) -> list[Neighbour]:
@@ -123,7 +109,7 @@
         ]
         if len(mentioned) > ZONE_MESH_NODES:
             return mentioned
-        return [held for held in mentioned if held.is_alive(now)]
+        return [held for held in mentioned if now - held.heard_at < ALIVE_S]
 
     def list_targets(self, now: float, rng: random.Random) -> list[Neighbour]:
         """Return the nodes that get this node's heartbeats and changes."""
@@ -132,7 +118,7 @@
             return alive
         near = self.list_members(now, self.own.zone)
         if len(near) > ZONE_MESH_NODES:
-            near = self._follow_ring(near, RING_PEERS)
+            near = self._follow_ring(near)
         others = [held for held in alive if held.peer.zone != self.own.zone]
         chosen = rng.sample(others, min(OTHER_ZONE_PEERS, len(others)))
         return near + chosen
@@ -168,8 +154,6 @@
             return []
         self.contacted_at = now
         self._forget(now)
-        members = self.list_members(now, self.own.zone)
-        self.large = len(members) > ZONE_MESH_NODES
         alive = {held.endpoint for held in self.list_alive(now)}
         alive.add((self.own.ip, self.own.port))
         silent = [
@@ -183,12 +167,8 @@
 
     def sample_known(self, now: float, rng: random.Random) -> tuple[Peer, ...]:
         """Return a few live nodes to tell others of."""
-        alive = self.list_alive(now)
-        chosen = rng.sample(alive, min(KNOWN_PEERS, len(alive)))
-        if self.large:
-            near = self.list_members(now, self.own.zone)
-            chosen = chosen[:1] + self._follow_ring(near, RING_KNOWN)
-        return tuple(held.peer for held in chosen)
+        alive = [held.peer for held in self.list_alive(now)]
+        return tuple(rng.sample(alive, min(KNOWN_PEERS, len(alive))))
 
     def _mention(self, peer: Peer, now: float) -> None:
         if peer.name == self.own.name:
@@ -209,17 +189,13 @@
         for name in old:
             self.by_name.pop(name)
 
-    def _follow_ring(
-        self,
-        near: list[Neighbour],
-        count: int,
-    ) -> list[Neighbour]:
+    def _follow_ring(self, near: list[Neighbour]) -> list[Neighbour]:
         """Return the nodes of the zone that follow this one in hash order."""
         own_key = _order(self.own.name)
         ring = sorted(near, key=lambda held: _order(held.peer.name))
         after = [held for held in ring if _order(held.peer.name) > own_key]
         before = [held for held in ring if _order(held.peer.name) < own_key]
-        return (after + before)[:count]
+        return (after + before)[:ZONE_MESH_NODES]
 
 
 def _order(name: str) -> tuple[int, str]:
--- a/apricottally/tagged/occupancy.py
+++ b/apricottally/tagged/occupancy.py
@@ -25,13 +25,12 @@
 
 @dataclass(slots=True)
 class Report:
-    """What a neighbour reported last; it counts for `life_s`."""
+    """What a neighbour reported last."""
 
     at: float
     incarnation: int
     sequence: int
     loads: tuple[Load, ...]
-    life_s: float = REPORT_LIFE_S
 
 
 @dataclass(slots=True)
@@ -96,7 +95,7 @@
         silent = [
             name
             for name, report in self.reports.items()
-            if now - report.at > report.life_s
+            if now - report.at > REPORT_LIFE_S
         ]
         for name in silent:
             self.drop_report(name)
