--- a/apricottally/tagged/choice.py
+++ b/apricottally/tagged/choice.py
@@ -13,10 +13,10 @@
     from apricottally.tagged.state import NodeState
 
 # Requests that may wait for a slot of a backend when a new flow is sent there;
-# behind more the answer would be late. Where a service has several classes of
-# urgency, the less urgent ones leave the queue to the most urgent, and for that
-# the backend itself decides whether it is full.
-QUEUE_LENGTH = 4
+# a backend sheds more. Where a service has several classes of urgency, the less
+# urgent ones leave the queue to the most urgent, and for that the backend
+# itself decides whether it is full.
+QUEUE_LENGTH = 8
 URGENT_QUEUE_LENGTH = 12
 DEFERRED_QUEUE_LENGTH = 1
 # Weights in requests in progress: an open flow, a backend of another zone,
