Count demand where a flow is chosen, list a service once

Cause: a last read: the function that limits the queue also counted the request, the sample listed the service a second time, and the length of a packet was tested twice. Change: the count stands in choose(); the sample takes the entries that are there. No behaviour changes.

--- a/apricottally/tagged/choice.py
+++ b/apricottally/tagged/choice.py
@@ -47,21 +47,16 @@
     None if no backend is known or too many requests wait at each.
     """
     for service in order_services(route, key):
-        limit = _limit_queue(state, route, service, now)
+        state.demand.note(service, route.priority, now)
+        limit = _limit_queue(state, route, service)
         found = _choose_of(state, service, now, tried, limit)
         if found is not None:
             return found
     return None
 
 
-def _limit_queue(
-    state: NodeState,
-    route: Route,
-    service: str,
-    now: float,
-) -> int:
+def _limit_queue(state: NodeState, route: Route, service: str) -> int:
     """Return how many requests of a route may wait at a backend."""
-    state.demand.note(service, route.priority, now)
     priorities = state.demand.list_priorities(service)
     if len(priorities) == 1:
         return QUEUE_LENGTH
@@ -95,15 +90,19 @@
 ) -> Entry | None:
     entries = state.catalog.list_service(service)
     if len(entries) > MAX_COMPARED:
-        found = _find_best(state, _sample(state, service), now, tried, limit)
+        sample = _sample(state, service, entries)
+        found = _find_best(state, sample, now, tried, limit)
         if found is not None:
             return found
     return _find_best(state, entries, now, tried, limit)
 
 
-def _sample(state: NodeState, service: str) -> Iterable[Entry]:
+def _sample(
+    state: NodeState,
+    service: str,
+    entries: tuple[Entry, ...],
+) -> Iterable[Entry]:
     near = state.catalog.list_service(service, state.config.zone)
-    entries = state.catalog.list_service(service)
     half = MAX_COMPARED // 2
     yield from state.rng.sample(near, min(half, len(near)))
     yield from state.rng.sample(entries, half)
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -90,10 +90,9 @@
         return refusals.reset(state, packet, 'backend_gone', now)
     observation.observe(state, flow, packet, tag, route, now)
     if packet.length:
-        service = entry.backend.service
-        state.demand.note(service, route.priority, now)
-    if packet.length and _should_end(state, packet, tag, route, now):
-        return refusals.reset(state, packet, 'backend_unreachable', now)
+        state.demand.note(entry.backend.service, route.priority, now)
+        if _should_end(state, packet, tag, route, now):
+            return refusals.reset(state, packet, 'backend_unreachable', now)
     return [Forward(entry.backend, packet.raw)]
 
 
