Let two runs of the fault soak share a machine

Change: a run reserves its ports at an address of its own block, and another run of the seed takes the next ten.

--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 import zlib
 from pathlib import Path
@@ -117,7 +118,8 @@
     ) -> None:
         self.rng = Random(seed)
         self.block = 10 + seed % 200
-        self.port = 20_000 + seed * 10 % 20_000
+        self._reserved = reserve_ports(self.block, 20_000 + seed * 10 % 10_000)
+        self.port = self._reserved.getsockname()[1]
         self.folder = folder
         self.store = store
         self.ledger = Ledger()
@@ -155,6 +157,7 @@
         await asyncio.gather(*(node.link.close() for node in self.nodes))
         for transport in self._transports:
             transport.close()
+        self._reserved.close()
 
     def kill(self) -> None:
         """End what still runs, after an interrupted run."""
@@ -259,5 +262,22 @@
                 self.ledger.broken.append(f'{node.name} broke an invariant')
 
 
+def reserve_ports(block: int, first: int) -> socket.socket:
+    """Take the first free ten ports of a block for one run.
+
+    A run holds the first port at an address that it does not use otherwise,
+    so that another run on the machine takes the next ten.
+    """
+    for port in range(first, 31_000, 10):
+        held = socket.socket()
+        try:
+            held.bind((f'127.{block}.9.9', port))
+        except OSError:
+            held.close()
+        else:
+            return held
+    raise OSError('no ports are free')
+
+
 async def _hang_up(reader, writer) -> None:
     writer.close()
