--- a/tests/test_tagged_process.py
+++ b/tests/test_tagged_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -97,6 +98,61 @@
     )
 
 
+@pytest.mark.parametrize('signum', [signal.SIGTERM, signal.SIGINT])
+def test_stop_while_loading(tmp_path, signum) -> None:
+    """Guards against a stop request that ends a loading program by signal.
+
+    The program has opened nothing yet and must exit with status 0. Its package
+    is replaced by one that never finishes loading.
+    """
+    shutil.copy(ROOT / 'platform' / 'main.py', tmp_path)
+    package = tmp_path / 'fleetnode'
+    package.mkdir()
+    (package / '__init__.py').touch()
+    (package / 'process.py').write_text(
+        "import time\nprint('loading', flush=True)\ntime.sleep(60)\n"
+    )
+
+    async def scenario() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(tmp_path / 'main.py'),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        assert process.stdout is not None
+        await process.stdout.readline()
+        process.send_signal(signum)
+        assert await process.wait() == 0
+
+    run(scenario())
+
+
+def test_reload_while_exiting(tmp_path) -> None:
+    """Guards against a SIGHUP during the exit that changes the status.
+
+    The event loop restores the default actions of signals when it closes.
+    """
+
+    async def scenario() -> None:
+        ports = find_ports(4)
+        async with open_fake_store() as fake:
+            settings = tmp_path / 'node.toml'
+            write_settings(settings, ports, fake.endpoint[1])
+            process = await start(settings)
+            assert process.stdout is not None
+            await process.stdout.readline()
+            process.send_signal(signal.SIGTERM)
+            while process.returncode is None:
+                # send_signal() of asyncio would take the exit status.
+                with suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGHUP)
+                await asyncio.sleep(0.001)
+            await process.stdout.read()
+            assert process.returncode == 0
+
+    run(scenario())
+
+
 def test_process_serves_and_stops(tmp_path) -> None:
     """Guards against a program that fails to start, reload or stop.
 
