Keep timer, reads and relay alive after unexpected errors and bad records

Change: effects, timer and reads report the exception and go on; numbers in records are bounded when they are decoded, out of range makes the record unreadable; heartbeats with invalid addresses are dropped and counted. The operators' client refuses a value over the platform's limit before sending it.

The refusal no longer depends on a call, and the test now checks that nothing is sent and uses the client's own limits.

--- a/apricottally/platformclient.py
+++ b/apricottally/platformclient.py
@@ -16,7 +16,7 @@
 from apricottally import etcd_pb2 as pb
 from apricottally import model
 from apricottally.addresses import Endpoint
-from apricottally.errors import CompactedError
+from apricottally.errors import CompactedError, PlatformError
 from apricottally.etcd_grpc import KVStub
 from apricottally.events import Record
 from apricottally.platformcalls import (
@@ -116,8 +116,10 @@
         """Write a key if its version is still `version` (0: no such key).
 
         Raises `PlatformError` only if the write is known not to have taken
-        effect.
+        effect. A value that the platform would refuse is not sent.
         """
+        if len(value) > model.MAX_VALUE_BYTES:
+            raise PlatformError(f'value too large: {len(value)} bytes')
         put = pb.PutRequest(key=key.encode(), value=value)
         operation = pb.RequestOp(request_put=put)
         return await self._execute_if_unchanged(key, version, operation)
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias, TypeVar
+from typing import Annotated, TypeAlias, TypeVar
 
 import msgspec
 
@@ -17,13 +17,19 @@
 MAX_DATAGRAM_BYTES = 1400
 
 
+_IpAddress = Annotated[
+    str, msgspec.Meta(pattern=r'^(?:[0-9]{1,3}[.]){3}[0-9]{1,3}$')
+]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+
+
 class Peer(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Identity and address of a node; `incarnation` changes at a restart."""
 
     name: str
     zone: str
-    ip: str
-    port: int
+    ip: _IpAddress
+    port: _Port
     incarnation: int
 
 
--- a/apricottally/tagged/networkcalls.py
+++ b/apricottally/tagged/networkcalls.py
@@ -93,10 +93,8 @@
 
     async def _list(self) -> None:
         requested_at = self._loop.time()
-        try:
-            batch = await self._platform.list_records()
-        except PlatformError as error:
-            self._submit_failure(error)
+        batch = await self._read(self._platform.list_records())
+        if batch is None:
             return
         self._submit(
             events.RecordsListed(
@@ -109,10 +107,10 @@
 
     async def _watch(self, effect: effects.WatchRecords) -> None:
         requested_at = self._loop.time()
-        try:
-            batch = await self._platform.watch(effect.after, effect.wait_s)
-        except PlatformError as error:
-            self._submit_failure(error)
+        batch = await self._read(
+            self._platform.watch(effect.after, effect.wait_s)
+        )
+        if batch is None:
             return
         self._submit(
             events.RecordsChanged(
@@ -124,6 +122,24 @@
             ),
         )
 
+    async def _read(
+        self, call: Coroutine[Any, Any, RecordBatch]
+    ) -> RecordBatch | None:
+        """Return the result of a read; submit a failure and return None.
+
+        The reducer starts no other read before it has the result, so that
+        every exception has to be submitted.
+        """
+        try:
+            return await call
+        except CompactedError:
+            self._submit_failure('compacted', compacted=True)
+        except PlatformError as error:
+            self._submit_failure(str(error))
+        except Exception as error:
+            self._submit_failure(f'unexpected_{type(error).__name__}')
+        return None
+
     async def _pull(self, effect: effects.PullSnapshot) -> None:
         requested_at = self._loop.time()
         snapshot: Snapshot | None = None
@@ -172,9 +188,7 @@
         reached = connected[0] or connected[1]
         return reached, reached or connected[2]
 
-    def _submit_failure(self, error: PlatformError) -> None:
-        compacted = isinstance(error, CompactedError)
-        reason = 'compacted' if compacted else str(error)
+    def _submit_failure(self, reason: str, *, compacted: bool = False) -> None:
         self._submit(events.ReadFailed(self._loop.time(), reason, compacted))
 
 
--- a/apricottally/tagged/node.py
+++ b/apricottally/tagged/node.py
@@ -86,19 +86,22 @@
     def submit(self, event: events.Event) -> None:
         """Apply one event and carry out its effects.
 
-        An exception in a handler is logged so that a single packet cannot
-        terminate the process; `InvariantError` is not caught.
+        An exception in a handler or an effect is logged so that a single
+        packet cannot terminate the process; `InvariantError` is not caught.
         """
         try:
             outputs = reduce(self.state, event)
         except InvariantError:
             raise
         except Exception:
-            self._report_fault(event)
+            self.report_fault(type(event).__name__)
             return
         actions = self._actions
         for effect in outputs:
-            actions[type(effect)](effect)
+            try:
+                actions[type(effect)](effect)
+            except Exception:
+                self.report_fault(type(effect).__name__)
 
     def receive_packet(self, payload: bytes, source: Endpoint) -> None:
         """Handle a datagram from the packet socket."""
@@ -142,8 +145,11 @@
         self._calls.close()
         self._log.flush(self.loop.time())
 
-    def _report_fault(self, event: events.Event) -> None:
-        name = type(event).__name__
+    def report_fault(self, name: str) -> None:
+        """Count and log the exception being handled.
+
+        `name` is the event, effect or task that raised it.
+        """
         self.state.counters.add('handler_failed', name)
         trace = traceback.format_exc(limit=-3)
         self.log('handler_failed', {'input': name, 'trace': trace})
@@ -206,6 +212,12 @@
 
 
 async def _tick_forever(node: Node) -> None:
+    """Tick until cancelled; an exception must not end the timer."""
     while True:
-        node.tick()
+        try:
+            node.tick()
+        except InvariantError:
+            raise
+        except Exception:
+            node.report_fault('tick')
         await asyncio.sleep(TICK_S)
--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -84,12 +84,16 @@
 
 
 def test_value_above_limit_is_refused() -> None:
-    """A value refused as too large must not have an unknown outcome."""
+    """A value refused as too large must not have an unknown outcome.
+
+    It is not sent: sending it can take longer than the call may.
+    """
 
     async def scenario() -> None:
-        async with open_pair() as (_, client):
+        async with open_pair(ClientLimits()) as (platform, client):
             with pytest.raises(PlatformError, match='too large'):
                 await client.swap(KEY, 0, b'x' * 1_000_001)
+            assert not platform.faults.calls['Txn']
             outcome = await client.swap(KEY, 0, b'x' * 1_000_000)
             assert outcome.outcome == 'stored'
 
