End suspicion with an answer, count an upload once, forget backends that left

Causes, seen while the code was reworded: an answer cleared the suspicion of a backend only if it had misses, so one that failed a probe was avoided for 2 s after it answered; a probe without a reference backend used up its interval of 0.5 s; of 21 equally used priorities none reached 5%, and the empty list raised IndexError, which dropped the first packet; each packet of an upload counted as a request, 67 for one photo of 80 kB, so that a few uploads hid the other priorities; health, counts and slow start of each backend that ever registered were kept for good.

Change: suspicion ends with each answer, the reference is found before the probe is claimed, the most used priority is always active, only the first packet of a request counts, and what is kept by tag goes with the purged record; the end of the slow start stands in the catalog's entry.

Tests: five, seen failing.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -33,7 +33,8 @@
     `removed_at` is when this node learned of the removal. Until
     `usable_until`, a removed backend may get new flows, because its
     registration may only have lapsed. A backend whose record is not
-    `readable` keeps its open flows and gets no new ones.
+    `readable` keeps its open flows and gets no new ones. Until `cold_until`,
+    the backend is slow after its start.
     """
 
     revision: int
@@ -41,6 +42,7 @@
     removed_at: float | None = None
     usable_until: float = 0
     readable: bool = True
+    cold_until: float = 0
 
     def excludes_new_flows(self, now: float) -> bool:
         """Tell whether the backend is removed and its grace period is over."""
@@ -142,8 +144,12 @@
             self._by_service = index
         return index.get((service, zone), ())
 
-    def purge_removed(self, now: float) -> None:
-        """Drop entries of backends whose removal is older than any flow."""
+    def purge_removed(self, now: float) -> list[int]:
+        """Drop entries of backends whose removal is older than any flow.
+
+        Returns the tags that no longer identify a backend.
+        """
+        tags: list[int] = []
         expired = [
             name
             for name, entry in self._by_name.items()
@@ -155,8 +161,10 @@
             self.purged_revision = max(self.purged_revision, entry.revision)
             if entry.backend and self._by_tag.get(entry.backend.tag) is entry:
                 self._by_tag.pop(entry.backend.tag)
+                tags.append(entry.backend.tag)
         if expired:
             self._by_service = None
+        return tags
 
     def entries(self) -> Iterable[Entry]:
         """Return all entries, including those of removed backends."""
@@ -221,6 +229,7 @@
             return True
         entry.removed_at = None
         entry.backend = change.backend
+        entry.cold_until = now + change.backend.cold_ms / 1000
         self._index_tag(entry)
         self._end_grace_of_reused(entry)
         return True
--- a/apricottally/tagged/demand.py
+++ b/apricottally/tagged/demand.py
@@ -38,9 +38,15 @@
 
     def list_active_priorities(self, service: str) -> list[int]:
         """Return the service's active priorities, most urgent first."""
-        counts = self._current_counts.get(service, Counter())
-        counts = counts + self._previous_counts.get(service, Counter())
-        min_count = MIN_PRIORITY_SHARE * counts.total()
+        counts = self.count_recent(service)
+        # Of many priorities, each may have less than the minimum share.
+        most = max(counts.values(), default=0)
+        min_count = min(MIN_PRIORITY_SHARE * counts.total(), most)
         return sorted(
             priority for priority, count in counts.items() if count >= min_count
         )
+
+    def count_recent(self, service: str) -> Counter[int]:
+        """Return the service's recent requests by priority."""
+        current = self._current_counts.get(service, Counter())
+        return current + self._previous_counts.get(service, Counter())
--- a/apricottally/tagged/flowtracking.py
+++ b/apricottally/tagged/flowtracking.py
@@ -23,17 +23,21 @@
     tag: int,
     route: Route,
     now: float,
-) -> None:
-    """Update the flow of a packet; add the flow if the table lacks it."""
+) -> bool:
+    """Update the flow of a packet; add the flow if the table lacks it.
+
+    Returns whether the packet is the first one of a request.
+    """
     if flow is None:
         if packet.flags & (FIN | RST):
-            return
+            return False
         flow = Flow(packet.key, tag, route, now, now)
         if not state.flows.adopt(flow, packet):
-            return
+            return False
     flow.seen_at = now
-    if not flow.closed:
-        _track_unclosed(state, flow, packet, tag, now)
+    if flow.closed:
+        return False
+    return _track_unclosed(state, flow, packet, tag, now)
 
 
 def _track_unclosed(
@@ -42,17 +46,17 @@
     packet: FlowPacket,
     tag: int,
     now: float,
-) -> None:
+) -> bool:
     if not flow.established:
         _complete_handshake(state, flow, packet, tag, now)
     elif is_after(packet.acknowledged, flow.acknowledged):
         flow.acknowledged = packet.acknowledged
         state.suspicion.record_response(tag, now)
         state.flows.finish_request(flow)
-    if packet.length:
-        _track_data(state, flow, packet, now)
+    begins_request = _track_data(state, flow, packet, now)
     if packet.flags & (FIN | RST):
         state.flows.close(flow)
+    return begins_request
 
 
 def _complete_handshake(
@@ -76,8 +80,12 @@
     flow: Flow,
     packet: FlowPacket,
     now: float,
-) -> None:
+) -> bool:
+    """Record new data; return whether it is the first of a request."""
     data_end = (packet.sequence + packet.length) & 0xFFFFFFFF
-    if is_after(data_end, flow.sent_end):
-        flow.sent_end = data_end
-        state.flows.begin_request(flow, packet, now)
+    if not packet.length or not is_after(data_end, flow.sent_end):
+        return False
+    begins_request = flow.request_packet is None
+    flow.sent_end = data_end
+    state.flows.begin_request(flow, packet, now)
+    return begins_request
--- a/apricottally/tagged/occupancy.py
+++ b/apricottally/tagged/occupancy.py
@@ -79,6 +79,13 @@
         others = self.others.get(tag)
         return (own.open if own else 0) + (others.open if others else 0)
 
+    def forget(self, tag: int) -> None:
+        """Drop the counts of a backend that has left, unless in use."""
+        for counts in (self.own, self.others):
+            count = counts.get(tag)
+            if count is not None and not (count.busy or count.open):
+                counts.pop(tag)
+
     def record_report(self, name: str, report: NeighbourReport) -> None:
         """Replace a neighbour's report, unless the new one is out of date."""
         previous = self.reports.get(name)
--- a/apricottally/tagged/probing.py
+++ b/apricottally/tagged/probing.py
@@ -72,11 +72,11 @@
     entry = state.catalog.find_by_tag(tag)
     if entry is None or entry.backend is None:
         return []
-    if not state.suspicion.claim_probe(tag, since, now):
-        return []
     reference = _find_reference(state, entry)
     if reference is None:
         return []
+    if not state.suspicion.claim_probe(tag, since, now):
+        return []
     state.counters.add('probe', 'begun')
     return [ProbeBackend(entry.backend, reference)]
 
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -87,7 +87,9 @@
     if configuration is None:
         return
     state.flows.purge(now, configuration.idle_timeout_ms / 1000)
-    state.catalog.purge_removed(now)
+    for tag in state.catalog.purge_removed(now):
+        state.suspicion.forget(tag)
+        state.occupancy.forget(tag)
 
 
 _HANDLERS: dict[type, Callable[[NodeState, Any], list[Effect]]] = {
--- a/apricottally/tagged/selection.py
+++ b/apricottally/tagged/selection.py
@@ -162,6 +162,6 @@
     load = busy + OPEN_FLOW_WEIGHT * state.occupancy.count_open(backend.tag)
     if backend.zone != state.config.zone:
         load += OTHER_ZONE_PENALTY
-    if backend.cold_ms and now < state.cold_until(entry, backend):
+    if now < entry.cold_until:
         load += COLD_START_PENALTY
     return load / max(backend.slots, 1)
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -10,7 +10,7 @@
 from apricottally.counters import Counters
 from apricottally.invariants import Invariants
 from apricottally.tagged.answertime import AnswerTime
-from apricottally.tagged.catalog import Catalog, Entry
+from apricottally.tagged.catalog import Catalog
 from apricottally.tagged.demand import Demand
 from apricottally.tagged.durations import Durations
 from apricottally.tagged.flows import FlowTable
@@ -19,7 +19,6 @@
 from apricottally.tagged.neighbours import Neighbours
 from apricottally.tagged.occupancy import Occupancy
 from apricottally.tagged.platformreads import ReadState
-from apricottally.tagged.records import Backend
 from apricottally.tagged.suspicion import Suspicion
 from apricottally.tokenbucket import TokenBucket
 
@@ -94,8 +93,6 @@
         self.ticked_at = now
         self.reviewed_at = float('-inf')
         self.purged_at = now
-        # By tag: a backend's revision, and when its slow start ends.
-        self._cold_until: dict[int, tuple[int, float]] = {}
 
     @property
     def stopping(self) -> bool:
@@ -113,12 +110,3 @@
         """Whether the node should receive packets."""
         known = self.catalog.configuration is not None
         return known and not self.stopping
-
-    def cold_until(self, entry: Entry, backend: Backend) -> float:
-        """Return when the slow start of a backend ends."""
-        cached = self._cold_until.get(backend.tag)
-        if cached is None or cached[0] != entry.revision:
-            until = self.ticked_at + backend.cold_ms / 1000
-            cached = (entry.revision, until)
-            self._cold_until[backend.tag] = cached
-        return cached[1]
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -93,13 +93,10 @@
         state, entry, now
     ):
         return refusals.reset_flow(state, packet, 'backend_gone', now)
-    flowtracking.track_packet(state, flow, packet, tag, route, now)
-    if packet.length:
+    if flowtracking.track_packet(state, flow, packet, tag, route, now):
         state.demand.count_request(entry.backend.service, route.priority, now)
-        if _should_reset(state, packet, tag, route, now):
-            return refusals.reset_flow(
-                state, packet, 'backend_unreachable', now
-            )
+    if packet.length and _should_reset(state, packet, tag, route, now):
+        return refusals.reset_flow(state, packet, 'backend_unreachable', now)
     return [Forward(entry.backend, packet.raw)]
 
 
--- a/apricottally/tagged/suspicion.py
+++ b/apricottally/tagged/suspicion.py
@@ -69,9 +69,9 @@
         health = self._get_or_create(tag)
         health.last_response_at = now
         health.unreachable_until = NEVER
+        health.suspect_until = NEVER
         if health.misses:
             health.misses.clear()
-            health.suspect_until = NEVER
         if self.reported_until:
             self.reported_until.pop(tag, None)
 
--- a/tests/test_tagged_steering.py
+++ b/tests/test_tagged_steering.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from apricottally.tagged import demand, effects, events, packets
+from apricottally.tagged import (
+    catalog,
+    demand,
+    effects,
+    events,
+    packets,
+    probing,
+)
 from apricottally.tagged.records import (
     BackendChange,
     ConfigurationChange,
@@ -331,6 +338,36 @@
     assert requests.list_active_priorities('core') == priorities
 
 
+def test_many_priorities_of_equal_share() -> None:
+    """Flows must be admitted if no priority reaches the minimum share.
+
+    With 21 equally used priorities, each has less than 5% of the requests.
+    """
+    node = TaggedNode(0)
+    extra = tuple(
+        build_route(9000 + priority, Repetition.once, priority=priority)
+        for priority in range(21)
+    )
+    node.load_records(10, [build_backend(1)], build_configuration(1, extra))
+    for number, route in enumerate(extra * 2):
+        node.send(number, packets.SYN, port=route.port)
+        assert node.list_forwarded()
+        node.state.occupancy.own[1].busy = 0
+
+
+def test_upload_counts_as_one_request() -> None:
+    """The packets of one upload must not count as requests of their own.
+
+    Otherwise a few uploads push the other priorities below the minimum share.
+    """
+    node = TaggedNode(1)
+    tag = node.open_flow(1)
+    before = node.state.demand.count_recent('core').total()
+    for step in range(60):
+        node.send_request(1, tag, sequence=1001 + 100 * step)
+    assert node.state.demand.count_recent('core').total() == before + 1
+
+
 def test_reset_is_not_answered() -> None:
     """A reset must not be answered with a reset, or it could loop."""
     node = TaggedNode(1)
@@ -407,6 +444,46 @@
     assert not node.select_effects(effects.ProbeBackend, node.run(0.2))
 
 
+def test_probe_waits_for_reference() -> None:
+    """A probe that lacks a reference must not delay the next one.
+
+    The stalled request is probed as soon as another backend has answered.
+    """
+    node = TaggedNode(2)
+    tag = node.open_flow(1)
+    other = 3 - tag
+    assert not probing.request_probe(node.state, tag, node.now, node.now)
+    node.state.suspicion.record_response(other, node.now)
+    assert probing.request_probe(node.state, tag, node.now, node.now)
+
+
+def test_answer_ends_suspicion_of_failed_probe() -> None:
+    """A backend that answers must get new flows at once.
+
+    Its suspicion may come from a failed probe alone, without a miss.
+    """
+    node = TaggedNode(2)
+    suspicion = node.state.suspicion
+    suspicion.record_failed_probe(1, node.now, node.now)
+    assert suspicion.is_suspect(1, 'a', node.now)
+    suspicion.record_response(1, node.now)
+    assert not suspicion.is_suspect(1, 'a', node.now)
+
+
+def test_nothing_is_kept_of_purged_backends() -> None:
+    """The memory of a node must not grow with each backend that has left."""
+    node = TaggedNode(2)
+    for port in range(6):
+        node.open_flow(port)
+        node.send(port, packets.FIN | packets.ACK, sequence=1001, tag=1)
+    node.apply_changes(20, BackendChange(build_backend(1).name, 20, None))
+    node.run(catalog.REMOVED_RETENTION_S + 3)
+    state = node.state
+    assert state.catalog.find_by_tag(1) is None
+    assert 1 not in state.suspicion.health
+    assert 1 not in state.occupancy.own
+
+
 def test_split_route_draws_by_weight() -> None:
     """A service with weight zero must get no flows."""
     node = TaggedNode(0)
