--- a/apricottally/commandline.py
+++ b/apricottally/commandline.py
@@ -7,6 +7,7 @@
 
 from apricottally import (
     addresses,
+    analyzecommand,
     configcommands,
     nodecommands,
     publishing,
@@ -34,6 +35,7 @@
   apricottally --platform 127.0.0.1:2379 show workspace shop
   apricottally status --node 127.0.1.1:6082 --node 127.0.1.2:6082
   apricottally why --node 127.0.1.1:6082 10.0.0.7:40000 10.9.0.1:443
+  apricottally analyze --by zone node-1.log node-2.log
 
 a template, feed.toml:
   service = "etikett-core"
@@ -107,6 +109,7 @@
     _add_file_commands(commands)
     _add_key_commands(commands)
     _add_node_commands(commands)
+    _add_log_commands(commands)
     return parser
 
 
@@ -221,6 +224,45 @@
     )
 
 
+def _add_log_commands(commands: Subparsers) -> None:
+    analyze = _add_command(
+        commands,
+        'analyze',
+        analyzecommand.analyze,
+        "summarize logs of nodes on the users' platform: timeline, reasons, "
+        'nodes that differ from the others',
+    )
+    analyze.add_argument(
+        'file',
+        nargs='*',
+        metavar='FILE',
+        help='log files of any number of nodes, - for standard input (default)',
+    )
+    analyze.add_argument(
+        '--by',
+        choices=('zone', 'node'),
+        help='split the timeline by availability zone or by node',
+    )
+    analyze.add_argument(
+        '--flow',
+        metavar='CLIENT:PORT>ADDRESS:PORT',
+        help="also print this flow's lines from all nodes",
+    )
+    analyze.add_argument(
+        '--top',
+        type=_parse_count,
+        default=analyzecommand.DEFAULT_DEVIATIONS,
+        metavar='N',
+        help='number of deviating counts to list (default: 10)',
+    )
+    analyze.add_argument(
+        '--plot',
+        type=Path,
+        metavar='FILE',
+        help='draw the timeline into a PNG or SVG file; needs matplotlib',
+    )
+
+
 def _add_node_option(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         '--node',
@@ -250,6 +292,12 @@
         raise argparse.ArgumentTypeError(problem) from error
 
 
+def _parse_count(text: str) -> int:
+    if not text.isdecimal():
+        raise argparse.ArgumentTypeError(f'`{text}` is not a whole number')
+    return int(text)
+
+
 def _add_command(
     commands: Subparsers,
     name: str,
