--- a/tests/test_tagged_process.py
+++ b/tests/test_tagged_process.py
@@ -16,6 +16,7 @@
 from apricottally.tagged.dissemination import build_snapshot
 from apricottally.tagged.effects import ProbeBackend
 from apricottally.tagged.events import ProbeEnded
+from apricottally.tagged.httpresponder import open_http_responder
 from apricottally.tagged.jsonlog import MAX_PENDING_BYTES, JsonLog
 from apricottally.tagged.networkcalls import NetworkCalls
 from apricottally.tagged.snapshots import fetch_snapshot, open_snapshot_server
@@ -259,6 +260,23 @@
     os.close(write_end)
 
 
+def test_open_connection_at_the_end(caplog) -> None:
+    """Guards against a traceback on each shutdown with an open connection.
+
+    The event loop cancels the connection's task when it ends.
+    """
+
+    async def scenario() -> None:
+        endpoint = ('127.0.0.1', find_ports(1)[0])
+        async with open_http_responder(endpoint, {}):
+            _, writer = await asyncio.open_connection(*endpoint)
+            writer.write(b'GET / HTTP/1.1')
+            await asyncio.sleep(0.05)
+
+    run(scenario())
+    assert not caplog.records
+
+
 def test_pull_between_nodes() -> None:
     """Guards against snapshots that arrive altered.
 
