--- a/apricottally/tagged/tcpserver.py
+++ b/apricottally/tagged/tcpserver.py
@@ -14,8 +14,8 @@
 # Maximum length of a line or of an HTTP request head.
 MAX_READ_BYTES = 8192
 # TimeoutError is an OSError; LimitOverrunError is raised for a line or request
-# head that is too long. The event loop cancels the task of a connection only when it ends;
-# asyncio would print a traceback for a task that is then cancelled.
+# head that is too long. The event loop cancels the task of a connection only
+# when it ends; asyncio would print a traceback for a cancelled task.
 _CONNECTION_ERRORS = (
     OSError,
     EOFError,
