Load no packet modules of the other deployment at a start

Cause: the socket module imported the GUE and packet modules for one constant. Change: the limit stands in the socket module, a test compares it with both; a test lists modules that a platform node must not load, seen failing.

--- a/apricottally/sockets.py
+++ b/apricottally/sockets.py
@@ -17,16 +17,14 @@
 from apricottally.addresses import Endpoint
 from apricottally.counters import Counters
 from apricottally.errors import SocketError
-from apricottally.gue import MAX_HEADER_LENGTH
-from apricottally.packet import MAX_PACKET_LENGTH
 
 DatagramHandler: TypeAlias = Callable[[bytes, Endpoint], None]
 
 # Upper limit of datagrams read per reader callback.
 MAX_BATCH_DATAGRAMS = 64
-# Longest accepted datagram. Reads ask for one byte more, so that a longer
-# datagram is detected.
-MAX_DATAGRAM_BYTES = MAX_HEADER_LENGTH + MAX_PACKET_LENGTH
+# Longest accepted datagram: a packet of a jumbo frame, encapsulated. Reads ask
+# for one byte more, so that a longer datagram is detected.
+MAX_DATAGRAM_BYTES = 9128
 # Size requested for each socket buffer; the kernel may grant less.
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -9,6 +9,8 @@
 from apricottally.addresses import Endpoint
 from apricottally.counters import Counters
 from apricottally.errors import SocketError
+from apricottally.gue import MAX_HEADER_LENGTH
+from apricottally.packet import MAX_PACKET_LENGTH
 
 ANY_PORT = ('127.0.0.1', 0)
 FLOOD_DATAGRAMS = 1000
@@ -110,3 +112,9 @@
     asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
     assert seen == [sockets.MAX_DATAGRAM_BYTES]
     assert counters.total('socket_dropped', 'oversized') == 1
+
+
+def test_longest_packet_fits() -> None:
+    """The longest encapsulated packet must not be dropped as oversized."""
+    longest = MAX_HEADER_LENGTH + MAX_PACKET_LENGTH
+    assert longest == sockets.MAX_DATAGRAM_BYTES
--- a/tests/test_tagged_process.py
+++ b/tests/test_tagged_process.py
@@ -6,6 +6,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 from contextlib import suppress
 from pathlib import Path
@@ -99,6 +100,42 @@
     )
 
 
+def test_modules_loaded_at_start() -> None:
+    """Guards against imports that make a start longer and are not used.
+
+    After a power failure, each user waits for the start of the nodes.
+    """
+    script = (
+        "import sys; sys.path[:0] = ['platform', '.']; "
+        "import fleetnode.process; print(' '.join(sys.modules))"
+    )
+    found = subprocess.run(
+        [sys.executable, '-c', script],
+        cwd=ROOT,
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    loaded = {name.split('.')[0] for name in found.stdout.split()}
+    loaded |= set(found.stdout.split())
+    unused = {
+        'absl',
+        'aioprometheus',
+        'apricottally.gue',
+        'apricottally.packet',
+        'apricottally.reducer',
+        'email',
+        'google',
+        'grpclib',
+        'http',
+        'matplotlib',
+        'multiprocessing',
+        'orjson',
+        'xxhash',
+    }
+    assert not loaded & unused
+
+
 @pytest.mark.parametrize('signum', [signal.SIGTERM, signal.SIGINT])
 def test_stop_while_loading(tmp_path, signum) -> None:
     """Guards against a stop request that ends a loading program by signal.
