Report a hanging process of the soak with its state and stack

Change: the soak reports such a process with its kernel state and ends it with SIGABRT and Python's fault handler, so that its stack is in its log. Test: a process that ignores SIGTERM.

--- a/tests/faults/deployment.py
+++ b/tests/faults/deployment.py
@@ -49,6 +49,7 @@
             | {
                 'APRICOTTALLY_CONFIG': str(path),
                 'METRICS_PORT': str(self.deployment.base_port + 3),
+                'PYTHONFAULTHANDLER': '1',
             },
             stdout=log,
             stderr=log,
@@ -70,15 +71,27 @@
             async with asyncio.timeout(GRACE_PERIOD_S):
                 status = await self.process.wait()
         except TimeoutError:
-            results.violations.append(f'{self.name} did not exit in time')
-            self.signal(signal.SIGKILL)
-            status = await self.process.wait()
-        if status not in {0, -signal.SIGKILL}:
+            state = _read_process_state(self.process.pid)
+            results.violations.append(
+                f'{self.name} did not exit in time: {state}'
+            )
+            status = await self._abort(self.process)
+        if status not in {0, -signal.SIGKILL, -signal.SIGABRT}:
             results.violations.append(
                 f'{self.name} exited with status {status}'
             )
         self.stopping = False
 
+    async def _abort(self, process: asyncio.subprocess.Process) -> int:
+        """End a process that hangs; it writes its stack to its log."""
+        self.signal(signal.SIGABRT)
+        try:
+            async with asyncio.timeout(GRACE_PERIOD_S):
+                return await process.wait()
+        except TimeoutError:
+            self.signal(signal.SIGKILL)
+            return await process.wait()
+
     async def fetch(self, port: int, path: str) -> str:
         try:
             async with asyncio.timeout(1):
@@ -297,3 +310,15 @@
 
 async def _close_connection(reader, writer) -> None:
     writer.close()
+
+
+def _read_process_state(pid: int) -> str:
+    """Return the kernel's state and wait channel of a process, for reports."""
+    folder = Path('/proc') / str(pid)
+    try:
+        status = (folder / 'status').read_text()
+        waits_in = (folder / 'wchan').read_text()
+    except OSError as error:
+        return str(error)
+    state = status.partition('State:')[2].splitlines()[0].strip()
+    return f'{state}, waits in {waits_in}'
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,13 +1,18 @@
 """Short runs of the fault soak, including each seed that has ever failed."""
 
+import asyncio
+import signal
+import sys
 from pathlib import Path
 
 import pytest
 
 from tests.asyncruns import run
 from tests.fakestore import FakeStore
+from tests.faults import deployment
 from tests.faults.__main__ import run_seed
 from tests.faults.deployment import Deployment
+from tests.faults.hosts import RunResults
 
 
 @pytest.mark.parametrize('seed', [1, 2])
@@ -29,3 +34,32 @@
         await second.close()
 
     run(open_both())
+
+
+def test_hanging_process_is_reported(monkeypatch) -> None:
+    """A node that does not exit must be reported with its state and ended.
+
+    Without them, a failure that shows once cannot be traced.
+    """
+    monkeypatch.setattr(deployment, 'GRACE_PERIOD_S', 0.5)
+    script = (
+        'import signal, time; signal.signal(signal.SIGTERM, signal.SIG_IGN); '
+        'print(flush=True); time.sleep(60)'
+    )
+
+    async def stop_hanging_node() -> None:
+        store = FakeStore(endpoint=('127.0.0.1', 9))
+        opened = Deployment(1, 1, Path(), store)
+        node = opened.nodes[0]
+        node.process = await asyncio.create_subprocess_exec(
+            sys.executable, '-c', script, stdout=asyncio.subprocess.PIPE
+        )
+        await node.process.stdout.readline()
+        results = RunResults()
+        await node.stop(results)
+        assert node.process.returncode == -signal.SIGABRT
+        assert len(results.violations) == 1
+        assert 'S (sleeping)' in results.violations[0]
+        await opened.close()
+
+    run(stop_hanging_node())
