Count a restarted node as present if others mention its new incarnation

Cause, found when the diff was read: in a zone beyond 24 nodes a node hears only some of its zone. One that had left and started again kept the mark 'leaving' at all that heard of it only by mention, so that after a rolling restart several nodes could rank themselves first, read the store, and leave it out as partner.

Change: a mention of another incarnation replaces a neighbour that is silent here. Also: analyze prints a flow's lines in order of time over several files; two conditions written more plainly.

Test: test_restarted_node_known_by_mention, seen failing.

--- a/apricottally/analyzecommand.py
+++ b/apricottally/analyzecommand.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
+from operator import attrgetter
 from pathlib import Path
 from typing import BinaryIO
 
@@ -104,7 +105,7 @@
         timeline=analysis.list_intervals(options.by or ''),
         reasons=analysis.list_reasons(),
         deviations=analysis.list_deviations(options.top),
-        flow=analysis.story,
+        flow=sorted(analysis.story, key=attrgetter('time')),
     )
 
 
--- a/apricottally/chunktransfer.py
+++ b/apricottally/chunktransfer.py
@@ -148,9 +148,11 @@
     current = state.protocols.transfers.fetches.get(message.key)
     if current is None or current.entry.version != message.version:
         return []
-    is_valid = 0 <= message.index < message.count
-    is_valid = is_valid and message.count <= MAX_CHUNKS
-    if not is_valid or source not in current.sources:
+    has_valid_index = 0 <= message.index < message.count
+    if message.count > MAX_CHUNKS or not has_valid_index:
+        state.counters.add('transfer', 'foreign_chunk')
+        return []
+    if source not in current.sources:
         state.counters.add('transfer', 'foreign_chunk')
         return []
     if (current.count, current.digest) != (message.count, message.digest):
--- a/apricottally/tagged/heartbeats.py
+++ b/apricottally/tagged/heartbeats.py
@@ -113,12 +113,13 @@
         targets = targets + state.gossip_targets.list_next_partners(
             now, state.remote_round
         )
-        return [neighbour.endpoint for neighbour in targets]
-    return [
-        neighbour.endpoint
-        for neighbour in targets
-        if neighbour.peer.zone == state.config.zone
-    ]
+    else:
+        targets = [
+            neighbour
+            for neighbour in targets
+            if neighbour.peer.zone == state.config.zone
+        ]
+    return [neighbour.endpoint for neighbour in targets]
 
 
 def _build(state: NodeState, now: float) -> bytes:
--- a/apricottally/tagged/neighbours.py
+++ b/apricottally/tagged/neighbours.py
@@ -218,14 +218,22 @@
         ]
 
     def _mention(self, peer: Peer, now: float) -> None:
+        """Record that another node has heard this peer.
+
+        A new incarnation replaces a neighbour that is silent here: what its
+        last heartbeat said is out of date.
+        """
         if peer.name == self.own.name:
             return
         neighbour = self.by_name.get(peer.name)
         if neighbour is None:
             self.by_name[peer.name] = Neighbour(peer, now)
             self.contacted_at = LONG_AGO
-        else:
-            neighbour.mentioned_at = now
+            return
+        neighbour.mentioned_at = now
+        is_silent = now - neighbour.heard_at > ALIVE_TIMEOUT_S
+        if is_silent and neighbour.peer.incarnation != peer.incarnation:
+            self.by_name[peer.name] = Neighbour(peer, now)
 
     def _drop_expired(self, now: float) -> None:
         expired = [
--- a/tests/test_tagged_records.py
+++ b/tests/test_tagged_records.py
@@ -37,6 +37,25 @@
     assert bool(node.select_effects(effects.WatchRecords, found)) is watches
 
 
+@pytest.mark.parametrize(('silent_s', 'leaving'), [(0.5, True), (2, False)])
+def test_restarted_node_known_by_mention(silent_s, leaving) -> None:
+    """Guards against several readers after a rolling restart of a large zone.
+
+    A node that has left and started again may be heard by others only. It then
+    counts as present, but not while its own last heartbeat is recent.
+    """
+    node = TaggedNode(1)
+    left = Peer('n2', 'a', '10.1.0.2', 7720, 7)
+    receive_heartbeat(node, build_heartbeat(1, sender=left, leaving=True))
+    node.run(silent_s)
+    other = Peer('n3', 'a', '10.1.0.3', 7720, 7)
+    restarted = Peer('n2', 'a', '10.1.0.2', 7720, 8)
+    receive_heartbeat(
+        node, build_heartbeat(1, sender=other, known=(restarted,))
+    )
+    assert node.state.neighbours.by_name['n2'].leaving is leaving
+
+
 def test_cut_off_watcher_is_replaced() -> None:
     """Guards against stale records when the zone's watcher loses the platform.
 
