--- a/tests/features/publishing.feature
+++ b/tests/features/publishing.feature
@@ -64,7 +64,7 @@
 
   Scenario: An unknown outcome is resolved by the operation id
     Given the platform goes down after the next write
-    And I published the workspace "shop" at 10.9.0.1 for "feed"
+    And I tried to publish the workspace "shop" at 10.9.0.1 for "feed"
     And the platform is up again
     When I repeat the command as the message says
     Then the exit status is 0
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -118,12 +118,22 @@
     assert world.status == 0, world.printed
 
 
-@given(parsers.parse('I published the workspace "{name}" at {at} for "{used}"'))
+@given(
+    parsers.parse(
+        'I tried to publish the workspace "{name}" at {at} for "{used}"',
+    ),
+)
 @when(parsers.parse('I publish the workspace "{name}" at {at} for "{used}"'))
 def publish_workspace(world, name, at, used) -> None:
     world.run('publish', 'workspace', name, world.write_workspace(at, used))
 
 
+@given(parsers.parse('I published the workspace "{name}" at {at} for "{used}"'))
+def publish_workspace_before(world, name, at, used) -> None:
+    publish_workspace(world, name, at, used)
+    assert world.status == 0, world.printed
+
+
 @when(
     parsers.parse(
         'I publish the workspace "{name}" at {at} for "{used}" expecting '
--- a/tests/test_tagged_robustness.py
+++ b/tests/test_tagged_robustness.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-import base64
 import itertools
-import json
 import os
 import random
 import re
@@ -35,16 +33,11 @@
     build_backend,
     build_configuration,
 )
+from tests.test_fleetnode import SERVER
+from tests.test_fleetnode import encode as encode_value
 
 LOCALHOST = '127.0.0.1'
 ROOT = Path(__file__).resolve().parent.parent
-SERVER = {
-    'service': 'core',
-    'address': '10.2.0.9:8080',
-    'zone': 'a',
-    'slots': 2,
-    'state': 'ready',
-}
 SPLIT = {'service': 'core', 'weight': 1}
 ROUTE = {'name': 'r', 'host': '10.9.0.1', 'prefix': '/443/', 'service': 'core'}
 
@@ -88,10 +81,6 @@
     return Node(state, platform, FailingCodec(1), log)
 
 
-def encode_value(value) -> str:
-    return base64.b64encode(json.dumps(value).encode()).decode()
-
-
 @pytest.mark.parametrize(
     'problem',
     [
