--- a/apricottally/tagged/gossiptargets.py
+++ b/apricottally/tagged/gossiptargets.py
@@ -16,7 +16,7 @@
     get_hash_key,
 )
 
-# Partners that one heartbeat is sent to; the next one goes to the next ones.
+# Number of partners that get one heartbeat; they take turns.
 MAX_REMOTE_TARGETS = 2
 PARTNER_REVIEW_PERIOD_S = 0.5
 
