Log lists, lost history and ignored records, with the store's epoch

The logs could not tell why no node applied a change after the store was restored. The store client now decodes the header that counts restorations; nodes log each list with the epoch and revision of the store beside their own revision, each lost history, and each record that was read or received but not applied, with the reason (also counted as change_ignored). No decision is changed.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -95,6 +95,27 @@
             return self._apply_configuration(change)
         return self._apply_backend(change, now, grace_s)
 
+    def explain_ignored(self, change: Change) -> str:
+        """Return why a change that was not applied was ignored.
+
+        Returns an empty string if it repeats a record that is known.
+        """
+        if isinstance(change, ConfigurationChange):
+            known_revision = self.configuration_revision
+            same = change.configuration == self.configuration
+        else:
+            entry = self._by_name.get(change.name) or Entry(0, None)
+            known_revision = entry.revision
+            known = entry.backend if entry.is_registered() else None
+            same = change.backend == known
+        if same:
+            return ''
+        if change.revision > known_revision:
+            return 'older_version'
+        if change.revision == known_revision:
+            return 'same_revision_other_content'
+        return 'older_revision'
+
     def remove_missing(
         self,
         names: Iterable[str],
--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -180,17 +180,39 @@
         state.durations.in_force.add(now - state.freshness.confirmed_at)
     for change in changes:
         _clear_suspicion_on_restart(state, change)
-    applied = [
-        change
-        for change in changes
-        if state.catalog.apply(change, now, grace_s)
-    ]
+    applied: list[Change] = []
+    logs: list[Effect] = []
+    for change in changes:
+        if state.catalog.apply(change, now, grace_s):
+            applied.append(change)
+            logs.append(_log_change(state, change, now))
+        else:
+            logs += _log_ignored(state, change)
     state.invariants.check(
         'configuration_version_monotone',
         holds=state.configuration_version >= version,
         detail=(version, state.configuration_version),
     )
-    return [_log_change(state, change, now) for change in applied], applied
+    return logs, applied
+
+
+def _log_ignored(state: NodeState, change: Change) -> list[WriteLog]:
+    """Count and log a change that was not applied unless it is known."""
+    reason = state.catalog.explain_ignored(change)
+    if not reason:
+        return []
+    state.counters.add('change_ignored', reason)
+    if isinstance(change, ConfigurationChange):
+        record = 'configuration'
+    else:
+        record = change.name
+    fields: dict[str, LogValue] = {
+        'record': record,
+        'reason': reason,
+        'revision': change.revision,
+        'known_revision': state.catalog.revision,
+    }
+    return [WriteLog('change_ignored', fields)]
 
 
 def _clear_suspicion_on_restart(state: NodeState, change: Change) -> None:
--- a/apricottally/tagged/events.py
+++ b/apricottally/tagged/events.py
@@ -40,13 +40,15 @@
 class RecordsListed(msgspec.Struct, frozen=True):
     """The platform returned a complete list of its records.
 
-    The list includes at least every change up to `revision`.
+    The list includes at least every change up to `revision`. `epoch` is the
+    number of times that the store was restored from an older copy.
     """
 
     now: float
     requested_at: float
     revision: int
     changes: tuple[Change, ...]
+    epoch: int = 0
 
 
 class RecordsChanged(msgspec.Struct, frozen=True):
@@ -60,6 +62,7 @@
     after: int
     revision: int
     changes: tuple[Change, ...]
+    epoch: int = 0
 
 
 class ReadFailed(msgspec.Struct, frozen=True):
--- a/apricottally/tagged/networkcalls.py
+++ b/apricottally/tagged/networkcalls.py
@@ -27,10 +27,15 @@
 
 
 class RecordBatch(msgspec.Struct, frozen=True):
-    """Changes of platform records, complete up to `revision`."""
+    """Changes of platform records, complete up to `revision`.
+
+    `epoch` is the number of times that the store was restored from an older
+    copy; after that, revisions are given out again.
+    """
 
     revision: int
     changes: tuple[Change, ...]
+    epoch: int = 0
 
 
 class Platform(Protocol):
@@ -102,6 +107,7 @@
                 requested_at,
                 batch.revision,
                 batch.changes,
+                batch.epoch,
             ),
         )
 
@@ -119,6 +125,7 @@
                 effect.after,
                 batch.revision,
                 batch.changes,
+                batch.epoch,
             ),
         )
 
--- a/apricottally/tagged/platformreads.py
+++ b/apricottally/tagged/platformreads.py
@@ -88,6 +88,7 @@
     state.durations.platform_call.add(event.now - event.requested_at)
     reads.must_list = False
     reads.listed_at = event.now
+    effects.append(_log_list(state, event))
     effects += dissemination.apply_list(state, event)
     return effects + tick(state, event.now)
 
@@ -114,7 +115,7 @@
     if event.compacted and not reads.must_list:
         reads.must_list = True
         reads.phase = Phase.idle
-        return tick(state, event.now)
+        return [_log_lost_history(state, event.now), *tick(state, event.now)]
     reads.failures += 1
     delay = INITIAL_BACKOFF_S * 2 ** min(reads.failures, 10)
     delay = min(delay, MAX_BACKOFF_S) * state.rng.uniform(0.5, 1)
@@ -144,6 +145,26 @@
     return [WriteLog('platform_regained', fields)]
 
 
+def _log_list(state: NodeState, event: RecordsListed) -> WriteLog:
+    return WriteLog(
+        'records_listed',
+        {
+            'epoch': event.epoch,
+            'revision': event.revision,
+            'known_revision': state.catalog.revision,
+            'records': len(event.changes),
+        },
+    )
+
+
+def _log_lost_history(state: NodeState, now: float) -> WriteLog:
+    fields = {
+        'known_revision': state.catalog.revision,
+        'age_ms': state.freshness.age_ms(now),
+    }
+    return WriteLog('history_lost', fields)
+
+
 def _should_read(state: NodeState, now: float) -> bool:
     if not state.catalog.revision:
         return True
