--- a/tests/taggedfleet.py
+++ b/tests/taggedfleet.py
@@ -1,9 +1,11 @@
 """Seeded simulation of several nodes of tagged flows in virtual time.
 
 Datagrams are lost, delayed and reordered; nodes are killed, frozen and
-restarted; the platform's store drops its history and refuses requests.
+restarted; the platform's store drops its history, refuses requests and is
+restored from an older copy.
 """
 
+import copy
 import heapq
 import itertools
 import random
@@ -21,6 +23,7 @@
     """The platform's store with its current records and their history."""
 
     def __init__(self) -> None:
+        self.epoch = 1
         self.revision = 1
         self.history = []
         # Changes up to this revision are no longer in the history.
@@ -38,6 +41,13 @@
         self._list_times.append(now)
         return True
 
+    def restore(self, older: 'FakePlatform') -> None:
+        """Go back to an older copy, except for the count of calls."""
+        self.epoch += 1
+        self.revision = older.revision
+        self.history = list(older.history)
+        self.current = dict(older.current)
+
     def put(self, name, change) -> None:
         self.history.append(change)
         self.current[name] = change
@@ -174,6 +184,7 @@
             requested_at,
             self.platform.revision,
             self.platform.list_live(),
+            self.platform.epoch,
         )
         self._submit(name, event)
 
@@ -199,18 +210,35 @@
 
     def _build_answer(self, name: str, requested_at: float, after: int):
         """Return the answer to a watch, or None while it waits."""
-        if after < self.platform.compacted_revision:
-            return events.ReadFailed(self.now, 'compacted', compacted=True)
         if name in self.refused:
             return events.ReadFailed(self.now, 'status_503')
+        if not (
+            self.platform.compacted_revision <= after <= self.platform.revision
+        ):
+            return events.ReadFailed(self.now, 'compacted', compacted=True)
         found = self.platform.list_history(after)
         if not found and self.now - requested_at < 1:
             return None
         revision = max((one.revision for one in found), default=after)
         return events.RecordsChanged(
-            self.now, requested_at, after, revision, found
+            self.now, requested_at, after, revision, found, self.platform.epoch
         )
 
+    def copy_platform(self) -> FakePlatform:
+        """Return a copy of the platform to restore it from."""
+        return copy.deepcopy(self.platform)
+
+    def restore_platform(self, older: FakePlatform, away_s: float) -> None:
+        """Take the platform away, and bring it back from an older copy."""
+        refused = self.refused
+        self.refused = set(self.nodes)
+        self.run(away_s)
+        self.refused = refused
+        self.platform.restore(older)
+        for name in list(self._watches):
+            self._watches.pop(name)
+            self._submit(name, events.ReadFailed(self.now, 'connection'))
+
     def drop_history(self) -> None:
         """Drop the history; watches in progress fail."""
         self.platform.history.clear()
