Order the platform's records by epoch, so that a reused revision is a new one

Cause: every comparison of records took the store's revision for a number that never falls. The restored store gives numbers out again; a change with a number that a node had seen before was dropped by each node, and nodes whose numbers were equal confirmed each other as current. A list got the watching node no further, so it read without end.

Change: a revision is now a pair of epoch (the store's count of restorations) and number, ordered by both. A watch answered in another epoch is a lost history, even if the number exists again; a list with pages of two epochs fails.

configuration gives way only to a higher version, or to the same one at a later revision: a restored store may hold an older one for a while. The first records of an epoch count as the end of an outage, so that backends whose registration was lost stay usable until they write it again.

Messages between nodes have a new format: nodes of both formats ignore each other's datagrams during an upgrade and each kind reads the store.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -1,7 +1,9 @@
 """A node's copy of the platform's records: backends and the configuration.
 
-A record replaces another only if its revision is higher, regardless of order
-and source of arrival; a configuration's version must not be lower either.
+A record of a backend replaces another only if its revision is higher and its
+epoch is not over, regardless of order and source of arrival. A configuration
+replaces one with a lower version: after a restoration, the platform may hold an
+older one for a while, and nodes may have one that the platform has lost.
 Entries of removed backends are retained for a while: packets of their flows
 may still arrive, and an outdated record must not register the backend again.
 """
@@ -20,6 +22,7 @@
     ConfigurationChange,
     Route,
 )
+from apricottally.tagged.revisions import NO_REVISION, Revision
 
 # Must exceed the lifetime of a flow at a removed backend.
 REMOVED_RETENTION_S = 120.0
@@ -37,7 +40,7 @@
     the backend is slow after its start.
     """
 
-    revision: int
+    revision: Revision
     backend: Backend | None
     removed_at: float | None = None
     usable_until: float = 0
@@ -73,13 +76,13 @@
     )
 
     def __init__(self) -> None:
-        # All platform changes up to this revision are applied; 0 before the
-        # first list or snapshot.
-        self.revision = 0
+        # All platform changes up to this revision are applied; `NO_REVISION`
+        # before the first list or snapshot.
+        self.revision = NO_REVISION
         # Highest revision among the purged entries of removed backends.
-        self.purged_revision = 0
+        self.purged_revision = NO_REVISION
         self.configuration: Configuration | None = None
-        self.configuration_revision = 0
+        self.configuration_revision = NO_REVISION
         self.routes: dict[tuple[int, int], Route] = {}
         self._by_name: dict[str, Entry] = {}
         self._by_tag: dict[int, Entry] = {}
@@ -104,12 +107,14 @@
             known_revision = self.configuration_revision
             same = change.configuration == self.configuration
         else:
-            entry = self._by_name.get(change.name) or Entry(0, None)
+            entry = self._by_name.get(change.name) or Entry(NO_REVISION, None)
             known_revision = entry.revision
             known = entry.backend if entry.is_registered() else None
             same = change.backend == known
         if same:
             return ''
+        if change.revision.epoch < self.revision.epoch:
+            return 'older_epoch'
         if change.revision > known_revision:
             return 'older_version'
         if change.revision == known_revision:
@@ -119,7 +124,7 @@
     def remove_missing(
         self,
         names: Iterable[str],
-        revision: int,
+        revision: Revision,
         now: float,
         grace_s: float,
     ) -> list[str]:
@@ -191,7 +196,7 @@
         """Return all entries, including those of removed backends."""
         return self._by_name.values()
 
-    def list_changes(self, after: int) -> tuple[Change, ...]:
+    def list_changes(self, after: Revision) -> tuple[Change, ...]:
         """Return the changes after a revision, including removals."""
         changes: list[Change] = [
             BackendChange(
@@ -213,13 +218,13 @@
 
     def _apply_configuration(self, change: ConfigurationChange) -> bool:
         current = self.configuration
-        if change.revision <= self.configuration_revision:
-            return False
-        if (
-            current is not None
-            and change.configuration.version < current.version
-        ):
-            return False
+        if current is not None:
+            version = change.configuration.version
+            if version < current.version:
+                return False
+            is_repeated = change.revision <= self.configuration_revision
+            if version == current.version and is_repeated:
+                return False
         self.configuration_revision = change.revision
         self.configuration = change.configuration
         self.routes = {
@@ -234,9 +239,11 @@
         now: float,
         grace_s: float,
     ) -> bool:
+        if change.revision.epoch < self.revision.epoch:
+            return False
         entry = self._by_name.get(change.name)
         if entry is None:
-            entry = Entry(0, None)
+            entry = Entry(NO_REVISION, None)
             self._by_name[change.name] = entry
         if change.revision <= entry.revision:
             return False
--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -30,6 +30,7 @@
     Change,
     ConfigurationChange,
 )
+from apricottally.tagged.revisions import NO_REVISION, Revision
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -44,19 +45,17 @@
 def apply_list(state: NodeState, event: RecordsListed) -> list[Effect]:
     """Apply a complete list from the platform and relay what changed."""
     known_revision = state.catalog.revision
-    effects, applied = _apply(state, event.changes, event.now)
-    names = [
-        change.name
-        for change in event.changes
-        if isinstance(change, BackendChange)
-    ]
-    grace_s = state.freshness.lapse_grace_s(event.now)
-    missing = state.catalog.remove_missing(
-        names, event.revision, event.now, grace_s
-    )
+    effects = _start_epoch(state, event.revision, event.now)
+    logs, applied = _apply(state, event.changes, event.now)
+    effects += logs
+    missing = _remove_missing(state, event.changes, event.revision, event.now)
     effects += [_log_missing(state, name, event.now) for name in missing]
     _advance_revision(state, event.revision, event.requested_at, event.now)
-    if not known_revision or not (applied or missing):
+    if event.revision.epoch != known_revision.epoch:
+        # Others cannot apply a difference between two epochs.
+        state.heartbeat_due = True
+        return effects
+    if known_revision == NO_REVISION or not (applied or missing):
         return effects
     removed = [BackendChange(name, event.revision, None) for name in missing]
     changes = (*applied, *removed)
@@ -68,7 +67,10 @@
 ) -> list[Effect]:
     """Apply the changes from a watch of the platform and relay them."""
     effects, _ = _apply(state, event.changes, event.now)
-    if event.after > state.catalog.revision:
+    known_revision = state.catalog.revision
+    if event.after > known_revision:
+        return effects
+    if event.after.epoch != known_revision.epoch:
         return effects
     confirmed_at = event.requested_at
     if not event.changes:
@@ -84,10 +86,17 @@
     """Apply changes from another node and relay them if they are new.
 
     If changes between this node's revision and the delta are missing, a
-    snapshot is pulled instead.
+    snapshot is pulled instead. They are if the delta is of a newer epoch.
     """
     known_revision = state.catalog.revision
-    if not known_revision or delta.after > known_revision:
+    if delta.revision.epoch < known_revision.epoch:
+        return []
+    is_same_epoch = delta.after.epoch == known_revision.epoch
+    if (
+        known_revision == NO_REVISION
+        or not is_same_epoch
+        or delta.after > known_revision
+    ):
         sender = state.neighbours.by_name.get(delta.sender)
         return _pull(state, sender, now) if sender else []
     confirmed_at = now - delta.age_ms / 1000
@@ -112,14 +121,17 @@
     An equal revision confirms the records; a higher one leads to a pull.
     """
     known_revision = state.catalog.revision
-    if neighbour.revision == known_revision and known_revision:
+    if neighbour.revision == NO_REVISION:
+        return []
+    if neighbour.revision == known_revision:
         state.freshness.confirm(now - age_ms / 1000, now)
         return []
-    if neighbour.revision < known_revision or not neighbour.revision:
+    if neighbour.revision < known_revision:
         return []
     if state.behind_since is None:
         state.behind_since = now
-    if known_revision and now - state.behind_since < PULL_DELAY_S:
+    has_records = known_revision != NO_REVISION
+    if has_records and now - state.behind_since < PULL_DELAY_S:
         return []
     return _pull(state, neighbour, now)
 
@@ -135,17 +147,14 @@
             'problem': event.problem,
         }
         return [WriteLog('pull_failed', fields)]
-    effects, _ = _apply(state, snapshot.changes, event.now)
+    if not snapshot.complete and _is_other_epoch(state, snapshot.revision):
+        # The node entered another epoch after it had requested the snapshot.
+        return []
+    effects = _start_epoch(state, snapshot.revision, event.now)
+    logs, _ = _apply(state, snapshot.changes, event.now)
+    effects += logs
     if snapshot.complete:
-        names = [
-            change.name
-            for change in snapshot.changes
-            if isinstance(change, BackendChange)
-        ]
-        grace_s = state.freshness.lapse_grace_s(event.now)
-        state.catalog.remove_missing(
-            names, snapshot.revision, event.now, grace_s
-        )
+        _remove_missing(state, snapshot.changes, snapshot.revision, event.now)
     confirmed_at = event.requested_at - snapshot.age_ms / 1000
     if snapshot.revision > state.catalog.revision:
         state.heartbeat_due = True
@@ -153,18 +162,23 @@
     return effects
 
 
-def build_snapshot(state: NodeState, after: int, now: float) -> Snapshot:
+def build_snapshot(state: NodeState, after: Revision, now: float) -> Snapshot:
     """Return the records newer than a revision, for a neighbour.
 
-    The snapshot is complete if the neighbour has no records, or is so far
-    behind that removals it has not seen were purged here.
+    The snapshot is complete if the neighbour has no records, has those of
+    another epoch, or is so far behind that removals it has not seen were
+    purged here.
     """
-    complete = not after or after < state.catalog.purged_revision
+    complete = (
+        after == NO_REVISION
+        or _is_other_epoch(state, after)
+        or after < state.catalog.purged_revision
+    )
     return Snapshot(
         state.catalog.revision,
         state.freshness.age_ms(now),
         complete,
-        state.catalog.list_changes(0 if complete else after),
+        state.catalog.list_changes(NO_REVISION if complete else after),
     )
 
 
@@ -176,7 +190,7 @@
     """Apply changes; return log effects and the changes that were new."""
     grace_s = state.freshness.lapse_grace_s(now)
     version = state.configuration_version
-    if changes and state.catalog.revision:
+    if changes and state.catalog.revision != NO_REVISION:
         state.durations.in_force.add(now - state.freshness.confirmed_at)
     for change in changes:
         _clear_suspicion_on_restart(state, change)
@@ -209,8 +223,9 @@
     fields: dict[str, LogValue] = {
         'record': record,
         'reason': reason,
-        'revision': change.revision,
-        'known_revision': state.catalog.revision,
+        'epoch': change.revision.epoch,
+        'revision': change.revision.number,
+        'known_revision': state.catalog.revision.number,
     }
     return [WriteLog('change_ignored', fields)]
 
@@ -226,9 +241,52 @@
         state.suspicion.forget(entry.backend.tag)
 
 
+def _is_other_epoch(state: NodeState, revision: Revision) -> bool:
+    return revision.epoch != state.catalog.revision.epoch
+
+
+def _start_epoch(
+    state: NodeState, revision: Revision, now: float
+) -> list[Effect]:
+    """Prepare for the first records of an epoch that this node has not seen.
+
+    The platform was away and has lost changes: registrations may be missing
+    until the backends write them again.
+    """
+    known_revision = state.catalog.revision
+    if known_revision == NO_REVISION or revision.epoch <= known_revision.epoch:
+        return []
+    state.freshness.record_outage(now)
+    state.counters.add('platform_restored', 'epoch')
+    fields: dict[str, LogValue] = {
+        'epoch': revision.epoch,
+        'revision': revision.number,
+        'known_epoch': known_revision.epoch,
+        'known_revision': known_revision.number,
+        'version': state.configuration_version,
+    }
+    return [WriteLog('platform_restored', fields)]
+
+
+def _remove_missing(
+    state: NodeState,
+    changes: tuple[Change, ...],
+    revision: Revision,
+    now: float,
+) -> list[str]:
+    """Remove the backends that a complete list lacks; return their names."""
+    if revision.epoch < state.catalog.revision.epoch:
+        return []
+    names = [
+        change.name for change in changes if isinstance(change, BackendChange)
+    ]
+    grace_s = state.freshness.lapse_grace_s(now)
+    return state.catalog.remove_missing(names, revision, now, grace_s)
+
+
 def _advance_revision(
     state: NodeState,
-    revision: int,
+    revision: Revision,
     confirmed_at: float,
     now: float,
 ) -> None:
@@ -241,7 +299,7 @@
 
 def _announce(
     state: NodeState,
-    after: int,
+    after: Revision,
     changes: tuple[Change, ...],
     now: float,
 ) -> list[Effect]:
@@ -254,7 +312,7 @@
 def _relay(
     state: NodeState,
     receivers: list[Neighbour],
-    after: int,
+    after: Revision,
     changes: tuple[Change, ...],
     now: float,
 ) -> list[Effect]:
@@ -305,7 +363,8 @@
             'configuration_in_force',
             {
                 'version': change.configuration.version,
-                'revision': change.revision,
+                'epoch': change.revision.epoch,
+                'revision': change.revision.number,
                 'routes': len(change.configuration.routes),
                 'age_ms': age_ms,
             },
@@ -322,7 +381,8 @@
         {
             'backend': change.name,
             'state': status,
-            'revision': change.revision,
+            'epoch': change.revision.epoch,
+            'revision': change.revision.number,
             'age_ms': age_ms,
         },
     )
@@ -334,7 +394,8 @@
         {
             'backend': name,
             'state': 'missing',
-            'revision': state.catalog.revision,
+            'epoch': state.catalog.revision.epoch,
+            'revision': state.catalog.revision.number,
             'age_ms': state.freshness.age_ms(now),
         },
     )
--- a/apricottally/tagged/effects.py
+++ b/apricottally/tagged/effects.py
@@ -11,6 +11,7 @@
 from apricottally.effects import Exit, LogValue
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import Backend
+from apricottally.tagged.revisions import Revision
 
 
 class Forward(msgspec.Struct, frozen=True, gc=False):
@@ -44,7 +45,7 @@
 class WatchRecords(msgspec.Struct, frozen=True):
     """Wait up to `wait_s` for changes after the revision `after`."""
 
-    after: int
+    after: Revision
     wait_s: float
 
 
--- a/apricottally/tagged/events.py
+++ b/apricottally/tagged/events.py
@@ -14,6 +14,7 @@
 from apricottally.tagged.messages import Snapshot
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import Change
+from apricottally.tagged.revisions import Revision
 
 
 class PacketArrived(msgspec.Struct, frozen=True, gc=False):
@@ -40,15 +41,13 @@
 class RecordsListed(msgspec.Struct, frozen=True):
     """The platform returned a complete list of its records.
 
-    The list includes at least every change up to `revision`. `epoch` is the
-    number of times that the store was restored from an older copy.
+    The list includes at least every change up to `revision`.
     """
 
     now: float
     requested_at: float
-    revision: int
+    revision: Revision
     changes: tuple[Change, ...]
-    epoch: int = 0
 
 
 class RecordsChanged(msgspec.Struct, frozen=True):
@@ -59,17 +58,16 @@
 
     now: float
     requested_at: float
-    after: int
-    revision: int
+    after: Revision
+    revision: Revision
     changes: tuple[Change, ...]
-    epoch: int = 0
 
 
 class ReadFailed(msgspec.Struct, frozen=True):
     """A list or watch request failed; `reason` is a counter label.
 
     `compacted` is set if the platform no longer has the history that a watch
-    needs.
+    needs, or was restored from an older copy.
     """
 
     now: float
--- a/apricottally/tagged/exposition.py
+++ b/apricottally/tagged/exposition.py
@@ -67,7 +67,8 @@
     return [
         ('ready', int(state.ready)),
         ('configuration_version', state.configuration_version),
-        ('revision', state.catalog.revision),
+        ('epoch', state.catalog.revision.epoch),
+        ('revision', state.catalog.revision.number),
         ('records_age_seconds', state.freshness.age_ms(now) / 1000),
         ('flows', len(state.flows.by_key)),
         ('neighbours', len(alive)),
--- a/apricottally/tagged/freshness.py
+++ b/apricottally/tagged/freshness.py
@@ -48,6 +48,10 @@
         """Tell whether the records are younger than `stale_s`."""
         return now - self.confirmed_at < self.stale_s
 
+    def record_outage(self, now: float) -> None:
+        """Record that the platform was away until now."""
+        self.last_outage_at = now
+
     def detect_outage(self, now: float) -> bool:
         """Record an outage of the platform; tell whether it has just begun."""
         if now - self.confirmed_at < OUTAGE_AGE_S:
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -12,6 +12,7 @@
 
 from apricottally.errors import WireError
 from apricottally.tagged.records import Change
+from apricottally.tagged.revisions import Revision
 
 # Avoids IP fragmentation on paths with an MTU of 1,500 bytes.
 MAX_DATAGRAM_BYTES = 1400
@@ -56,7 +57,7 @@
     sender: Peer
     sequence: int
     leaving: bool
-    revision: int
+    revision: Revision
     age_ms: int
     loads: tuple[Load, ...]
     unreachable: tuple[int, ...]
@@ -64,11 +65,11 @@
 
 
 class Delta(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """All record changes after the revision `after` up to `revision`."""
+    """All record changes after `after` up to `revision`, of one epoch."""
 
     sender: str
-    after: int
-    revision: int
+    after: Revision
+    revision: Revision
     age_ms: int
     changes: tuple[Change, ...]
 
@@ -79,7 +80,7 @@
     If `complete`, a backend that is not listed is not registered.
     """
 
-    revision: int
+    revision: Revision
     age_ms: int
     complete: bool
     changes: tuple[Change, ...]
--- a/apricottally/tagged/neighbours.py
+++ b/apricottally/tagged/neighbours.py
@@ -12,6 +12,7 @@
 
 from apricottally.addresses import Endpoint
 from apricottally.tagged.messages import Heartbeat, Peer
+from apricottally.tagged.revisions import NO_REVISION, Revision
 
 # A node counts as dead if no heartbeat of it has arrived for this time.
 ALIVE_TIMEOUT_S = 1.2
@@ -44,7 +45,7 @@
     heard_at: float = LONG_AGO
     sequence: int = 0
     leaving: bool = False
-    revision: int = 0
+    revision: Revision = NO_REVISION
 
     @property
     def endpoint(self) -> Endpoint:
@@ -147,7 +148,10 @@
             1
             for neighbour in self.list_zone_members(now, self.own.zone)
             if not neighbour.leaving
-            and (neighbour.revision or neighbour.heard_at == LONG_AGO)
+            and (
+                neighbour.revision != NO_REVISION
+                or neighbour.heard_at == LONG_AGO
+            )
             and get_hash_key(neighbour.peer.name) < own_key
         )
 
--- a/apricottally/tagged/networkcalls.py
+++ b/apricottally/tagged/networkcalls.py
@@ -15,6 +15,7 @@
 from apricottally.tagged import effects, events
 from apricottally.tagged.messages import Snapshot
 from apricottally.tagged.records import Backend, Change
+from apricottally.tagged.revisions import Revision
 from apricottally.tagged.snapshots import fetch_snapshot
 from apricottally.tagged.state import NodeState
 
@@ -27,28 +28,24 @@
 
 
 class RecordBatch(msgspec.Struct, frozen=True):
-    """Changes of platform records, complete up to `revision`.
+    """Changes of platform records, complete up to `revision`."""
 
-    `epoch` is the number of times that the store was restored from an older
-    copy; after that, revisions are given out again.
-    """
-
-    revision: int
+    revision: Revision
     changes: tuple[Change, ...]
-    epoch: int = 0
 
 
 class Platform(Protocol):
     """Interface to the platform's record store.
 
     Both methods raise `PlatformError`; `watch` also raises `CompactedError` if
-    the store no longer has the history after the revision.
+    the store no longer has the history after the revision, or was restored
+    from an older copy.
     """
 
     async def list_records(self) -> RecordBatch:
         """Return all current records."""
 
-    async def watch(self, after: int, wait_s: float) -> RecordBatch:
+    async def watch(self, after: Revision, wait_s: float) -> RecordBatch:
         """Return the changes after a revision.
 
         Waits up to `wait_s` for the first change.
@@ -107,7 +104,6 @@
                 requested_at,
                 batch.revision,
                 batch.changes,
-                batch.epoch,
             ),
         )
 
@@ -125,7 +121,6 @@
                 effect.after,
                 batch.revision,
                 batch.changes,
-                batch.epoch,
             ),
         )
 
--- a/apricottally/tagged/node.py
+++ b/apricottally/tagged/node.py
@@ -19,6 +19,7 @@
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import Backend
 from apricottally.tagged.reducer import reduce
+from apricottally.tagged.revisions import Revision
 from apricottally.tagged.snapshots import open_snapshot_server
 from apricottally.tagged.state import NodeState
 
@@ -136,7 +137,7 @@
         """Write a structured log line."""
         self._log.write(self.loop.time(), event, fields)
 
-    def build_snapshot(self, after: int) -> Snapshot:
+    def build_snapshot(self, after: Revision) -> Snapshot:
         """Return this node's records that are newer than a revision."""
         return dissemination.build_snapshot(self.state, after, self.loop.time())
 
--- a/apricottally/tagged/platformreads.py
+++ b/apricottally/tagged/platformreads.py
@@ -22,6 +22,7 @@
     WriteLog,
 )
 from apricottally.tagged.events import ReadFailed, RecordsChanged, RecordsListed
+from apricottally.tagged.revisions import NO_REVISION
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -127,7 +128,7 @@
     fields: dict[str, LogValue] = {
         'reason': event.reason,
         'age_ms': state.freshness.age_ms(event.now),
-        'revision': state.catalog.revision,
+        **_describe_known_revision(state),
     }
     return [WriteLog('platform_lost', fields)]
 
@@ -149,9 +150,9 @@
     return WriteLog(
         'records_listed',
         {
-            'epoch': event.epoch,
-            'revision': event.revision,
-            'known_revision': state.catalog.revision,
+            'epoch': event.revision.epoch,
+            'revision': event.revision.number,
+            **_describe_known_revision(state),
             'records': len(event.changes),
         },
     )
@@ -159,14 +160,22 @@
 
 def _log_lost_history(state: NodeState, now: float) -> WriteLog:
     fields = {
-        'known_revision': state.catalog.revision,
+        **_describe_known_revision(state),
         'age_ms': state.freshness.age_ms(now),
     }
     return WriteLog('history_lost', fields)
 
 
+def _describe_known_revision(state: NodeState) -> dict[str, LogValue]:
+    revision = state.catalog.revision
+    return {
+        'known_epoch': revision.epoch,
+        'known_revision': revision.number,
+    }
+
+
 def _should_read(state: NodeState, now: float) -> bool:
-    if not state.catalog.revision:
+    if state.catalog.revision == NO_REVISION:
         return True
     rank = min(state.neighbours.rank_in_zone(now), MAX_RANK)
     age = now - state.freshness.confirmed_at
--- a/apricottally/tagged/records.py
+++ b/apricottally/tagged/records.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from apricottally.tagged.revisions import Revision
+
 
 class Repetition(enum.IntEnum):
     """Whether a client may repeat a request of a route."""
@@ -80,7 +82,7 @@
     """
 
     name: str
-    revision: int
+    revision: Revision
     backend: Backend | None
     readable: bool = True
 
@@ -88,7 +90,7 @@
 class ConfigurationChange(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """A configuration was written."""
 
-    revision: int
+    revision: Revision
     configuration: Configuration
 
 
--- a/apricottally/tagged/snapshots.py
+++ b/apricottally/tagged/snapshots.py
@@ -1,7 +1,8 @@
 """Transfer of record snapshots between nodes over TCP.
 
-The requesting node sends its revision as 8 bytes, big-endian. The response is
-a 4-byte big-endian length, followed by the snapshot compressed with zlib.
+The requesting node sends the epoch and the number of its revision as 8 bytes
+each, big-endian. The response is a 4-byte big-endian length, followed by the
+snapshot compressed with zlib.
 """
 
 from __future__ import annotations
@@ -16,19 +17,20 @@
 from apricottally.addresses import Endpoint
 from apricottally.errors import PullError, WireError
 from apricottally.tagged.messages import Snapshot, decode_snapshot, encode
+from apricottally.tagged.revisions import Revision
 from apricottally.tagged.tcpserver import open_server
 
-_REVISION = struct.Struct('>Q')
+_REVISION = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
 TIMEOUT_S = 0.6
 MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
 # Errors that make a transfer fail; an early end of stream is an EOFError.
 _TRANSFER_ERRORS = (OSError, EOFError, zlib.error, WireError)
 
-BuildSnapshot = Callable[[int], Snapshot]
+BuildSnapshot = Callable[[Revision], Snapshot]
 
 
-async def fetch_snapshot(endpoint: Endpoint, after: int) -> Snapshot:
+async def fetch_snapshot(endpoint: Endpoint, after: Revision) -> Snapshot:
     """Fetch a node's records newer than the revision `after`.
 
     Raises `PullError`.
@@ -51,10 +53,10 @@
     return open_server(endpoint, partial(_serve, build))
 
 
-async def _transfer(endpoint: Endpoint, after: int) -> Snapshot:
+async def _transfer(endpoint: Endpoint, after: Revision) -> Snapshot:
     reader, writer = await asyncio.open_connection(*endpoint)
     with closing(writer):
-        writer.write(_REVISION.pack(after))
+        writer.write(_REVISION.pack(after.epoch, after.number))
         compressed = await _read_response(reader)
     return decode_snapshot(zlib.decompress(compressed))
 
@@ -82,7 +84,7 @@
     build: BuildSnapshot,
 ) -> None:
     header = await reader.readexactly(_REVISION.size)
-    after = _REVISION.unpack(header)[0]
+    after = Revision(*_REVISION.unpack(header))
     compressed = zlib.compress(encode(build(after)), 1)
     writer.write(_LENGTH.pack(len(compressed)) + compressed)
     await writer.drain()
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
+from apricottally.tagged.revisions import Revision
+
 PAGE_SIZE = 3
 
 
@@ -29,6 +31,15 @@
         }
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """A copy of the store to restore it from."""
+
+    revision: int
+    items: dict[str, Item]
+    history: list[Item]
+
+
 @dataclass
 class FakeStore:
     """HTTP server with keys and values; `mode` selects its responses.
@@ -37,16 +48,34 @@
     for 60 s. `reset`: the connection is closed. `garbage`: status 200 with an
     invalid body. `no_such_history`: status 410 to watches. `history` contains
     all changes, `requested_targets` the targets of all requests answered.
+    `epoch` is 1 more than the number of restorations; `epochs_per_list` are
+    added to it at each page of a list.
     """
 
     items: dict[str, Item] = field(default_factory=dict)
     history: list[Item] = field(default_factory=list)
+    epoch: int | str = 1
+    epochs_per_list: int = 0
     revision: int = 5
     mode: str = 'good'
     requested_targets: list[str] = field(default_factory=list)
     endpoint: tuple[str, int] = ('', 0)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def latest(self) -> Revision:
+        return Revision(self.epoch, self.revision)
+
+    def take_copy(self) -> 'StoreCopy':
+        return StoreCopy(self.revision, dict(self.items), list(self.history))
+
+    def restore(self, older: 'StoreCopy') -> None:
+        """Go back to an older copy, in a new epoch."""
+        self.epoch += 1
+        self.revision = older.revision
+        self.items = dict(older.items)
+        self.history = list(older.history)
+
     def put(self, key: str, value: bytes | dict | None) -> None:
         if isinstance(value, dict):
             value = json.dumps(value).encode()
@@ -96,6 +125,8 @@
             name: values[0] for name, values in parse_qs(parts.query).items()
         }
         if parts.path == '/api/kv-range':
+            if self.epochs_per_list:
+                self.epoch += self.epochs_per_list
             return 200, self._list(query)
         return await self._watch(query)
 
@@ -114,6 +145,8 @@
         if self.mode == 'no_such_history':
             return 410, b'{}'
         after = int(query['after'])
+        if after > self.revision:
+            return 410, b'{}'
         wait_s = int(query['wait-ms']) / 1000
         if self.revision <= after:
             changed = self.changed
@@ -138,7 +171,8 @@
                 status, body = await self.answer(target)
                 writer.write(
                     b'HTTP/1.1 %d X\r\nContent-Type: application/json\r\n'
-                    b'Content-Length: %d\r\n\r\n%s' % (status, len(body), body)
+                    b'Store-Era: %s\r\nContent-Length: %d\r\n\r\n%s'
+                    % (status, str(self.epoch).encode(), len(body), body)
                 )
                 await writer.drain()
         except (OSError, EOFError, asyncio.CancelledError):
--- a/tests/taggedfleet.py
+++ b/tests/taggedfleet.py
@@ -10,9 +10,12 @@
 import itertools
 import random
 
+import msgspec
+
 from apricottally.tagged import dissemination, effects, events
 from apricottally.tagged.records import BackendChange, ConfigurationChange
 from apricottally.tagged.reducer import reduce
+from apricottally.tagged.revisions import Revision
 from apricottally.tagged.state import NodeConfig, NodeState
 from tests.taggednode import TICK_S, build_backend, build_configuration
 
@@ -23,11 +26,10 @@
     """The platform's store with its current records and their history."""
 
     def __init__(self) -> None:
-        self.epoch = 1
-        self.revision = 1
+        self.revision = Revision(1, 1)
         self.history = []
         # Changes up to this revision are no longer in the history.
-        self.compacted_revision = 0
+        self.compacted_revision = Revision(1, 0)
         self.current = {}
         self.calls = 0
         # List requests per second above this rate are refused.
@@ -43,10 +45,12 @@
 
     def restore(self, older: 'FakePlatform') -> None:
         """Go back to an older copy, except for the count of calls."""
-        self.epoch += 1
-        self.revision = older.revision
-        self.history = list(older.history)
-        self.current = dict(older.current)
+        epoch = self.revision.epoch + 1
+        self.revision = Revision(epoch, older.revision.number)
+        self.history = [_move(change, epoch) for change in older.history]
+        self.current = {
+            name: _move(change, epoch) for name, change in older.current.items()
+        }
 
     def put(self, name, change) -> None:
         self.history.append(change)
@@ -54,17 +58,29 @@
         self.revision = change.revision
 
     def put_configuration(self, version: int) -> None:
-        revision = self.revision + 1
         configuration = build_configuration(version)
-        self.put('', ConfigurationChange(revision, configuration))
+        self.put('', ConfigurationChange(self._next(), configuration))
 
     def put_backend(self, index: int, *, present: bool, **changes) -> None:
         backend = build_backend(index, **changes)
         change = BackendChange(
-            backend.name, self.revision + 1, backend if present else None
+            backend.name, self._next(), backend if present else None
         )
         self.put(backend.name, change)
 
+    def _next(self) -> Revision:
+        return Revision(self.revision.epoch, self.revision.number + 1)
+
+    def has_history(self, after: Revision) -> bool:
+        """Tell whether a watch from a revision can be answered.
+
+        A watch from another epoch gets an answer, but the adapter rejects it.
+        """
+        if after.epoch != self.revision.epoch:
+            return False
+        oldest = self.compacted_revision.number
+        return oldest <= after.number <= self.revision.number
+
     def list_history(self, after: int):
         return tuple(
             change for change in self.history if change.revision > after
@@ -78,6 +94,12 @@
         )
 
 
+def _move(change, epoch: int):
+    """Return a change as the platform shows it in another epoch."""
+    number = change.revision.number
+    return msgspec.structs.replace(change, revision=Revision(epoch, number))
+
+
 class Fleet:
     """Nodes, the datagrams between them, and their calls to the platform.
 
@@ -184,7 +206,6 @@
             requested_at,
             self.platform.revision,
             self.platform.list_live(),
-            self.platform.epoch,
         )
         self._submit(name, event)
 
@@ -212,16 +233,14 @@
         """Return the answer to a watch, or None while it waits."""
         if name in self.refused:
             return events.ReadFailed(self.now, 'status_503')
-        if not (
-            self.platform.compacted_revision <= after <= self.platform.revision
-        ):
+        if not self.platform.has_history(after):
             return events.ReadFailed(self.now, 'compacted', compacted=True)
         found = self.platform.list_history(after)
         if not found and self.now - requested_at < 1:
             return None
         revision = max((one.revision for one in found), default=after)
         return events.RecordsChanged(
-            self.now, requested_at, after, revision, found, self.platform.epoch
+            self.now, requested_at, after, revision, found
         )
 
     def copy_platform(self) -> FakePlatform:
--- a/tests/taggednode.py
+++ b/tests/taggednode.py
@@ -15,6 +15,7 @@
     Target,
 )
 from apricottally.tagged.reducer import reduce
+from apricottally.tagged.revisions import Revision
 from apricottally.tagged.state import NodeConfig, NodeState
 
 ADDRESS = 0xC6120001
@@ -67,6 +68,10 @@
     return Configuration(version, routes, 15_000)
 
 
+def rev(number: int, epoch: int = 1) -> Revision:
+    return Revision(epoch, number)
+
+
 class TaggedNode:
     """Feeds events to a reducer and keeps the effects of the last one."""
 
@@ -92,26 +97,25 @@
         self.effects = reduce(self.state, event)
         return self.effects
 
-    def load_records(self, revision, backends, configuration=None) -> None:
+    def load_records(
+        self, revision, backends, configuration=None, epoch=1
+    ) -> list[effects.Effect]:
+        at = rev(revision, epoch)
         changes = [
-            BackendChange(backend.name, revision, backend)
-            for backend in backends
+            BackendChange(backend.name, at, backend) for backend in backends
         ]
         changes.append(
-            ConfigurationChange(
-                revision, configuration or build_configuration()
-            )
+            ConfigurationChange(at, configuration or build_configuration())
         )
-        self.submit(
-            events.RecordsListed(self.now, self.now, revision, tuple(changes))
+        return self.submit(
+            events.RecordsListed(self.now, self.now, at, tuple(changes))
         )
 
     def apply_changes(self, revision: int, *changes) -> list[effects.Effect]:
         after = self.state.catalog.revision
+        at = rev(revision, after.epoch)
         return self.submit(
-            events.RecordsChanged(
-                self.now, self.now, after, revision, tuple(changes)
-            )
+            events.RecordsChanged(self.now, self.now, after, at, tuple(changes))
         )
 
     def run(self, seconds: float) -> list[effects.Effect]:
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -19,7 +19,7 @@
 )
 from tests.asyncruns import run
 from tests.fakestore import open_fake_store
-from tests.taggednode import build_backend
+from tests.taggednode import build_backend, rev
 
 SYN = bytes.fromhex(
     '02 64400007 c6120001 01bb 9c41 a1b2c3d5 0000 11223344 00000000 00000000'
@@ -107,8 +107,8 @@
 def test_malformed_record_names_no_backend(changes) -> None:
     """Invalid records of other programs must not stop a node or be used."""
     item = records.Item('servers/i-00000009', 8, encode(SERVER | changes))
-    assert records.decode_item(item) == BackendChange(
-        'i-00000009', 8, None, readable=False
+    assert records.decode_item(item, 1) == BackendChange(
+        'i-00000009', rev(8), None, readable=False
     )
 
 
@@ -117,7 +117,7 @@
     """Arbitrary values in the store must not raise an exception."""
     text = base64.b64encode(value).decode()
     for key in (f'servers/{name}', 'op/config', name):
-        change = records.decode_item(records.Item(key, 8, text))
+        change = records.decode_item(records.Item(key, 8, text), 1)
         assert change is None or getattr(change, 'backend', None) is None
 
 
@@ -125,7 +125,7 @@
     """Each field of a backend record must be decoded into its attribute."""
     value = SERVER | {'state': 'draining', 'born': 17, 'cold-left-ms': 900}
     change = records.decode_item(
-        records.Item('servers/i-00000009', 8, encode(value))
+        records.Item('servers/i-00000009', 8, encode(value)), 1
     )
     assert isinstance(change, BackendChange)
     backend = change.backend
@@ -160,7 +160,9 @@
         ],
     }
     config = {'version': 7, 'routes': [route], 'limits': {}}
-    change = records.decode_item(records.Item('op/config', 8, encode(config)))
+    change = records.decode_item(
+        records.Item('op/config', 8, encode(config)), 1
+    )
     assert isinstance(change, ConfigurationChange)
     found = change.configuration.routes[0]
     assert (found.address, found.port) == (0xC6120001, 8443)
@@ -177,7 +179,7 @@
                 fake.put_server(f'i-{index:08x}')
             fake.put_config(3, [])
             listing = await StoreClient(fake.endpoint).list_records()
-            assert listing.revision == fake.revision
+            assert listing.revision == fake.latest
             assert len(listing.changes) == 9
             assert len(fake.requested_targets) == 3
 
@@ -195,14 +197,14 @@
             fake.put_server('i-00000001')
             store = StoreClient(fake.endpoint)
             fake.revision += 3
-            listing = await store.watch(fake.revision, 0.05)
-            assert (listing.revision, listing.changes) == (fake.revision, ())
+            listing = await store.watch(fake.latest, 0.05)
+            assert (listing.revision, listing.changes) == (fake.latest, ())
             fake.put_server('i-00000001', state='draining')
-            listing = await store.watch(6, 1)
-            assert listing.revision == fake.revision
+            listing = await store.watch(rev(6), 1)
+            assert listing.revision == fake.latest
             fake.put('servers/i-00000001', None)
             listing = await store.watch(listing.revision, 1)
-            expected = BackendChange('i-00000001', fake.revision, None)
+            expected = BackendChange('i-00000001', fake.latest, None)
             assert listing.changes == (expected,)
 
     run(scenario())
@@ -231,7 +233,7 @@
             await store.list_records()
             fake.mode = mode
             with pytest.raises(PlatformError, match=problem):
-                await store.watch(1, 0.05)
+                await store.watch(rev(1), 0.05)
             fake.mode = 'good'
             assert (await store.list_records()).changes
 
@@ -245,7 +247,73 @@
         async with open_fake_store() as fake:
             fake.mode = 'no_such_history'
             with pytest.raises(CompactedError):
-                await StoreClient(fake.endpoint).watch(1, 0.05)
+                await StoreClient(fake.endpoint).watch(rev(1), 0.05)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize('written', range(4))
+def test_watch_across_restoration(written) -> None:
+    """Guards against changes of a restored store that a watch skips.
+
+    Once the store has given out the revision again, it answers a watch from
+    there although the changes before it are unknown.
+    """
+
+    async def scenario() -> None:
+        async with open_fake_store() as fake:
+            older = fake.take_copy()
+            fake.put_server('i-00000001')
+            fake.put_server('i-00000002')
+            seen = fake.latest
+            fake.restore(older)
+            for version in range(written):
+                fake.put_config(version, [])
+            with pytest.raises(CompactedError):
+                await StoreClient(fake.endpoint).watch(seen, 0.05)
+
+    run(scenario())
+
+
+def test_list_across_restoration() -> None:
+    """Guards against a list whose pages come from two histories."""
+
+    async def scenario() -> None:
+        async with open_fake_store() as fake:
+            for index in range(1, 9):
+                fake.put_server(f'i-{index:08x}')
+            fake.epochs_per_list = 1
+            with pytest.raises(PlatformError, match='restored'):
+                await StoreClient(fake.endpoint).list_records()
+
+    run(scenario())
+
+
+def test_answer_of_an_older_epoch() -> None:
+    """Guards against an answer from before a restoration that others know of.
+
+    It must fail without a list, which would come from the same older state.
+    """
+
+    async def scenario() -> None:
+        async with open_fake_store() as fake:
+            after = rev(fake.revision, fake.epoch + 1)
+            with pytest.raises(PlatformError, match='older_epoch') as caught:
+                await StoreClient(fake.endpoint).watch(after, 0.05)
+            assert not isinstance(caught.value, CompactedError)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize('epoch', ['x', '-1', '1.5', str(10**30)])
+def test_malformed_epoch(epoch) -> None:
+    """Guards against a header that stops the reads or cannot be relayed."""
+
+    async def scenario() -> None:
+        async with open_fake_store() as fake:
+            fake.epoch = epoch
+            with pytest.raises(PlatformError, match='connection'):
+                await StoreClient(fake.endpoint).list_records()
 
     run(scenario())
 
--- a/tests/test_tagged_load.py
+++ b/tests/test_tagged_load.py
@@ -5,7 +5,7 @@
 from apricottally.tagged import effects, events, flows, packets, selection
 from apricottally.tagged.messages import Heartbeat, Load, Peer, encode
 from apricottally.tagged.occupancy import NeighbourReport, Occupancy
-from tests.taggednode import TaggedNode, build_backend
+from tests.taggednode import TaggedNode, build_backend, rev
 
 
 def build_heartbeat(sequence: int, loads=(), **changes) -> Heartbeat:
@@ -13,7 +13,7 @@
         'sender': Peer('n2', 'a', '10.1.0.2', 7720, 7),
         'sequence': sequence,
         'leaving': False,
-        'revision': 10,
+        'revision': rev(10),
         'age_ms': 0,
         'loads': tuple(loads),
         'unreachable': (),
--- a/tests/test_tagged_process.py
+++ b/tests/test_tagged_process.py
@@ -20,6 +20,7 @@
 from apricottally.tagged.httpresponder import open_http_responder
 from apricottally.tagged.jsonlog import MAX_PENDING_BYTES, JsonLog
 from apricottally.tagged.networkcalls import NetworkCalls
+from apricottally.tagged.revisions import NO_REVISION, Revision
 from apricottally.tagged.snapshots import fetch_snapshot, open_snapshot_server
 from tests.asyncruns import iterate_sequentially, run, wait_until
 from tests.fakestore import open_fake_store
@@ -325,13 +326,14 @@
         port = find_ports(1)[0]
         endpoint = ('127.0.0.1', port)
 
-        def build(after: int):
+        def build(after: Revision):
             return build_snapshot(source.state, after, source.now)
 
         async with open_snapshot_server(endpoint, build):
-            assert await fetch_snapshot(endpoint, 0) == build(0)
+            fetched = await fetch_snapshot(endpoint, NO_REVISION)
+            assert fetched == build(NO_REVISION)
         with pytest.raises(PullError):
-            await fetch_snapshot(endpoint, 0)
+            await fetch_snapshot(endpoint, NO_REVISION)
 
     run(scenario())
 
--- a/tests/test_tagged_records.py
+++ b/tests/test_tagged_records.py
@@ -6,11 +6,13 @@
 from apricottally.tagged.dissemination import build_snapshot
 from apricottally.tagged.messages import Delta, Peer, encode
 from apricottally.tagged.records import BackendChange, ConfigurationChange
+from apricottally.tagged.revisions import NO_REVISION
 from tests.taggednode import (
     TaggedNode,
     build_backend,
     build_configuration,
     build_route,
+    rev,
 )
 from tests.test_tagged_load import build_heartbeat, receive_heartbeat
 
@@ -142,9 +144,13 @@
     A slow neighbour relays a record with a revision older than the removal.
     """
     node = TaggedNode(1)
-    node.apply_changes(20, BackendChange('i-00000001', 20, None))
+    node.apply_changes(20, BackendChange('i-00000001', rev(20), None))
     delta = Delta(
-        'n2', 20, 21, 0, (BackendChange('i-00000001', 15, build_backend(1)),)
+        'n2',
+        rev(20),
+        rev(21),
+        0,
+        (BackendChange('i-00000001', rev(15), build_backend(1)),),
     )
     node.submit(events.PeerArrived(node.now, ('10.1.0.2', 1), encode(delta)))
     assert not node.state.catalog.list_candidates('core')
@@ -155,10 +161,10 @@
     node = TaggedNode(1)
     other_peer = Peer('n3', 'a', '10.1.0.3', 7720, 7)
     receive_heartbeat(node, build_heartbeat(1, sender=other_peer))
-    change = BackendChange('i-00000002', 11, build_backend(2))
-    delta = Delta('n2', 10, 11, 0, (change,))
+    change = BackendChange('i-00000002', rev(11), build_backend(2))
+    delta = Delta('n2', rev(10), rev(11), 0, (change,))
     node.submit(events.PeerArrived(node.now, ('10.1.0.2', 1), encode(delta)))
-    assert node.state.catalog.revision == 11
+    assert node.state.catalog.revision == rev(11)
     sent = node.select_effects(effects.SendPeer)
     assert [effect.dests for effect in sent] == [(('10.1.0.3', 7720),)]
 
@@ -167,7 +173,7 @@
     """Guards against permanent loss of a change whose datagram was lost."""
     node = TaggedNode(1)
     receive_heartbeat(node, build_heartbeat(1))
-    delta = Delta('n2', 15, 16, 0, ())
+    delta = Delta('n2', rev(15), rev(16), 0, ())
     node.submit(events.PeerArrived(node.now, ('10.1.0.2', 1), encode(delta)))
     assert node.select_effects(effects.PullSnapshot)
 
@@ -182,11 +188,13 @@
     outdated_peer = Peer('n3', 'a', '10.1.0.3', 7720, 7)
     found = []
     for sequence in range(20):
-        receive_heartbeat(node, build_heartbeat(sequence + 1, revision=12))
+        receive_heartbeat(node, build_heartbeat(sequence + 1, revision=rev(12)))
         found += node.effects
         receive_heartbeat(
             node,
-            build_heartbeat(sequence + 1, sender=outdated_peer, revision=10),
+            build_heartbeat(
+                sequence + 1, sender=outdated_peer, revision=rev(10)
+            ),
         )
         node.now += 0.01
     assert node.select_effects(effects.PullSnapshot, found)
@@ -202,7 +210,7 @@
     node.run(0.02)
     routes = [build_route(port, 0) for port in range(1000, 1200)]
     node.apply_changes(
-        20, ConfigurationChange(20, build_configuration(2, tuple(routes)))
+        20, ConfigurationChange(rev(20), build_configuration(2, tuple(routes)))
     )
     assert not node.select_effects(effects.SendPeer)
     sent = node.select_effects(effects.SendPeer, node.run(0.01))
@@ -210,11 +218,13 @@
     assert all(len(effect.payload) < 1400 for effect in sent)
 
 
-@pytest.mark.parametrize(('after', 'count'), [(0, 4), (10, 1), (20, 0)])
+@pytest.mark.parametrize(
+    ('after', 'count'), [(NO_REVISION, 4), (rev(10), 1), (rev(20), 0)]
+)
 def test_snapshot_holds_what_is_newer(after, count) -> None:
     """Guards against snapshots that repeat records the requester has."""
     node = TaggedNode(3)
-    node.apply_changes(20, BackendChange('i-00000001', 20, None))
+    node.apply_changes(20, BackendChange('i-00000001', rev(20), None))
     snapshot = build_snapshot(node.state, after, node.now)
     assert len(snapshot.changes) == count
 
@@ -223,7 +233,7 @@
     """Guards against a node that cannot start while the store is down."""
     source = TaggedNode(3)
     node = TaggedNode(0, name='n2')
-    snapshot = build_snapshot(source.state, 0, source.now)
+    snapshot = build_snapshot(source.state, NO_REVISION, source.now)
     node.submit(events.SnapshotPulled(node.now, node.now, 'n1', snapshot))
     assert node.state.ready
     assert len(node.state.catalog.list_candidates('core')) == 3
@@ -232,12 +242,12 @@
 def test_failed_pull_is_tried_again() -> None:
     """Guards against a node that stays behind after one lost answer."""
     node = TaggedNode(1)
-    receive_heartbeat(node, build_heartbeat(1, revision=12))
+    receive_heartbeat(node, build_heartbeat(1, revision=rev(12)))
     node.now += 0.05
-    receive_heartbeat(node, build_heartbeat(2, revision=12))
+    receive_heartbeat(node, build_heartbeat(2, revision=rev(12)))
     assert node.select_effects(effects.PullSnapshot)
     node.submit(events.SnapshotPulled(node.now, node.now, 'n2', None, 'lost'))
-    receive_heartbeat(node, build_heartbeat(3, revision=12))
+    receive_heartbeat(node, build_heartbeat(3, revision=rev(12)))
     assert node.select_effects(effects.PullSnapshot)
 
 
--- a/tests/test_tagged_robustness.py
+++ b/tests/test_tagged_robustness.py
@@ -23,6 +23,7 @@
 from apricottally.tagged.networkcalls import RecordBatch
 from apricottally.tagged.node import Node, open_node
 from apricottally.tagged.records import BackendChange, ConfigurationChange
+from apricottally.tagged.revisions import NO_REVISION
 from apricottally.tagged.state import NodeConfig, NodeState
 from tests.asyncruns import run, wait_until
 from tests.taggednode import (
@@ -32,6 +33,7 @@
     TaggedNode,
     build_backend,
     build_configuration,
+    rev,
 )
 from tests.test_fleetnode import SERVER
 from tests.test_fleetnode import encode as encode_value
@@ -136,11 +138,14 @@
         node.attach_sockets(Socket(), Socket())
         backends = [build_backend(1), build_backend(2, zone='b')]
         changes = [
-            *(BackendChange(backend.name, 5, backend) for backend in backends),
-            ConfigurationChange(5, build_configuration()),
+            *(
+                BackendChange(backend.name, rev(5), backend)
+                for backend in backends
+            ),
+            ConfigurationChange(rev(5), build_configuration()),
         ]
         now = node.loop.time()
-        node.submit(events.RecordsListed(now, now, 5, tuple(changes)))
+        node.submit(events.RecordsListed(now, now, rev(5), tuple(changes)))
         for port in range(8):
             packet = packets.FlowPacket(
                 bytes([port]), CLIENT, port, ADDRESS, FEED_PORT, packets.SYN,
@@ -171,9 +176,9 @@
     Deltas and snapshots carry it; no node could encode them while it stands.
     """
     item = records.Item('servers/i-00000009', 8, encode_value(SERVER | changes))
-    change = records.decode_item(item)
+    change = records.decode_item(item, 1)
     assert change is not None
-    delta = Delta('n1', 7, 8, 0, (change,))
+    delta = Delta('n1', rev(7), rev(8), 0, (change,))
     assert decode(encode(delta)) == delta
 
 
@@ -191,7 +196,7 @@
     """A configuration that cannot be relayed must be ignored as a whole."""
     value = {'version': 3, 'routes': [ROUTE | changes], 'limits': limits}
     item = records.Item('op/config', 8, encode_value(value))
-    assert records.decode_item(item) is None
+    assert records.decode_item(item, 1) is None
 
 
 @pytest.mark.parametrize('jump_s', [-86_400, -7, 7, 86_400])
@@ -248,7 +253,7 @@
         'sender': Peer('n2', 'a', LOCALHOST, 9, 7),
         'sequence': 1,
         'leaving': False,
-        'revision': 0,
+        'revision': NO_REVISION,
         'age_ms': 0,
         'loads': (),
         'unreachable': (),
--- a/tests/test_tagged_steering.py
+++ b/tests/test_tagged_steering.py
@@ -22,6 +22,7 @@
     build_backend,
     build_configuration,
     build_route,
+    rev,
 )
 
 URGENT_PORT = 9000
@@ -133,7 +134,7 @@
         route for route in configuration.routes if route.port != FEED_PORT
     )
     node.apply_changes(
-        20, ConfigurationChange(20, type(configuration)(2, kept, 15_000))
+        20, ConfigurationChange(rev(20), type(configuration)(2, kept, 15_000))
     )
     node.send_request(1, tag)
     assert node.select_effects(effects.Reset)
@@ -142,8 +143,8 @@
 def test_configuration_never_goes_back() -> None:
     """An older version with a newer revision must not come into force."""
     node = TaggedNode(3)
-    node.apply_changes(20, ConfigurationChange(20, build_configuration(5)))
-    node.apply_changes(21, ConfigurationChange(21, build_configuration(4)))
+    node.apply_changes(20, ConfigurationChange(rev(20), build_configuration(5)))
+    node.apply_changes(21, ConfigurationChange(rev(21), build_configuration(4)))
     assert node.state.configuration_version == 5
 
 
@@ -152,7 +153,7 @@
     node = TaggedNode(2)
     tag = node.open_flow(1)
     draining = build_backend(tag, draining=True)
-    node.apply_changes(20, BackendChange(draining.name, 20, draining))
+    node.apply_changes(20, BackendChange(draining.name, rev(20), draining))
     for port in range(10, 14):
         node.send(port, packets.SYN)
         assert node.list_forwarded()[0].backend.tag != tag
@@ -172,7 +173,7 @@
     """
     node = TaggedNode(1)
     node.state.freshness.last_outage_at = node.now - since_outage_s
-    node.apply_changes(20, BackendChange('i-00000001', 20, None))
+    node.apply_changes(20, BackendChange('i-00000001', rev(20), None))
     node.send(1, packets.SYN)
     assert bool(node.list_forwarded()) is usable
     node.run(2.5)
@@ -189,9 +190,9 @@
     """
     node = TaggedNode(1)
     node.state.freshness.last_outage_at = node.now
-    node.apply_changes(20, BackendChange('i-00000001', 20, None))
+    node.apply_changes(20, BackendChange('i-00000001', rev(20), None))
     other = build_backend(9, service='other', port=8001)
-    node.apply_changes(21, BackendChange(other.name, 21, other))
+    node.apply_changes(21, BackendChange(other.name, rev(21), other))
     node.send(1, packets.SYN)
     assert not node.list_forwarded()
 
@@ -200,7 +201,7 @@
     """A client must not wait for a backend that has been removed for long."""
     node = TaggedNode(2)
     tag = node.open_flow(1)
-    node.apply_changes(20, BackendChange(f'i-{tag:08x}', 20, None))
+    node.apply_changes(20, BackendChange(f'i-{tag:08x}', rev(20), None))
     node.send_request(1, tag)
     assert node.list_forwarded()
     node.run(2.6)
@@ -214,7 +215,7 @@
     node = TaggedNode(2)
     tag = node.open_flow(1)
     name = f'i-{tag:08x}'
-    node.apply_changes(20, BackendChange(name, 20, None, readable=False))
+    node.apply_changes(20, BackendChange(name, rev(20), None, readable=False))
     node.run(3)
     node.confirm()
     node.send_request(1, tag)
@@ -229,7 +230,7 @@
     suspicion = node.state.suspicion
     suspicion.record_failed_probe(1, node.now, node.now)
     restarted = build_backend(1, born_ms=9)
-    node.apply_changes(20, BackendChange(restarted.name, 20, restarted))
+    node.apply_changes(20, BackendChange(restarted.name, rev(20), restarted))
     assert not suspicion.is_suspect(1, 'a', node.now)
 
 
@@ -251,7 +252,7 @@
     """Two backends with the same tag must not both get new flows."""
     node = TaggedNode(1)
     twin = build_backend(500, tag=1)
-    node.apply_changes(20, BackendChange(twin.name, 20, twin))
+    node.apply_changes(20, BackendChange(twin.name, rev(20), twin))
     for port in range(4):
         node.send(port, packets.SYN)
         assert node.list_forwarded()[0].backend.number == 1
@@ -398,7 +399,7 @@
     """
     node = TaggedNode(1)
     other = build_backend(2, service='other')
-    node.apply_changes(20, BackendChange(other.name, 20, other))
+    node.apply_changes(20, BackendChange(other.name, rev(20), other))
     node.state.suspicion.record_response(2, node.now)
     for port in (1, 2, 3):
         node.open_flow(port)
@@ -476,7 +477,7 @@
     for port in range(6):
         node.open_flow(port)
         node.send(port, packets.FIN | packets.ACK, sequence=1001, tag=1)
-    node.apply_changes(20, BackendChange(build_backend(1).name, 20, None))
+    node.apply_changes(20, BackendChange(build_backend(1).name, rev(20), None))
     node.run(catalog.REMOVED_RETENTION_S + 3)
     state = node.state
     assert state.catalog.find_by_tag(1) is None
