Hold back a restored platform's records of backends that are known to be older

What callers would see: after the platform is restored from an older copy, new flows go to backends that had reported to drain, or had left, in the lost seconds, until the backend's record is written again or lapses; each such flow waits for a retry or is closed after one request.

Cause: the records of the new epoch replaced all that was known, although the copy is older than what nodes had seen. A backend's own order is its start (born) and the count of its records (seq-no), which was not decoded so far.

Change: between epochs, a record that precedes what is known of its backend is held back until the backend writes it again, the copy lapses or 5 s have passed, more than three of the backends' write periods. The time for which a backend is cold is not counted anew by an unchanged record. Log records of the platform's records and the entry of the catalog have modules of their own.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -11,9 +11,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import TypeAlias
 
+from apricottally.tagged.catalogentry import Entry
+from apricottally.tagged.heldrecords import HeldRecords
 from apricottally.tagged.records import (
     Backend,
     BackendChange,
@@ -28,34 +29,6 @@
 REMOVED_RETENTION_S = 120.0
 
 
-@dataclass(slots=True, eq=False)
-class Entry:
-    """The catalog's entry for one backend name.
-
-    `backend` is the latest readable record and is kept after its removal.
-    `removed_at` is when this node learned of the removal. Until
-    `usable_until`, a removed backend may get new flows, because its
-    registration may only have lapsed. A backend whose record is not
-    `readable` keeps its open flows and gets no new ones. Until `cold_until`,
-    the backend is slow after its start.
-    """
-
-    revision: Revision
-    backend: Backend | None
-    removed_at: float | None = None
-    usable_until: float = 0
-    readable: bool = True
-    cold_until: float = 0
-
-    def excludes_new_flows(self, now: float) -> bool:
-        """Tell whether the backend is removed and its grace period is over."""
-        return self.removed_at is not None and now >= self.usable_until
-
-    def is_registered(self) -> bool:
-        """Tell whether the backend is registered."""
-        return self.removed_at is None and self.backend is not None
-
-
 # A service name and a zone; None stands for all zones.
 _ServiceKey: TypeAlias = tuple[str, str | None]
 _ServiceIndex: TypeAlias = dict[_ServiceKey, tuple[Entry, ...]]
@@ -68,6 +41,7 @@
         '_by_name',
         '_by_service',
         '_by_tag',
+        '_held',
         'configuration',
         'configuration_revision',
         'purged_revision',
@@ -86,6 +60,7 @@
         self.routes: dict[tuple[int, int], Route] = {}
         self._by_name: dict[str, Entry] = {}
         self._by_tag: dict[int, Entry] = {}
+        self._held = HeldRecords()
         self._by_service: _ServiceIndex | None = None
 
     def apply(self, change: Change, now: float, grace_s: float) -> bool:
@@ -98,29 +73,6 @@
             return self._apply_configuration(change)
         return self._apply_backend(change, now, grace_s)
 
-    def explain_ignored(self, change: Change) -> str:
-        """Return why a change that was not applied was ignored.
-
-        Returns an empty string if it repeats a record that is known.
-        """
-        if isinstance(change, ConfigurationChange):
-            known_revision = self.configuration_revision
-            same = change.configuration == self.configuration
-        else:
-            entry = self._by_name.get(change.name) or Entry(NO_REVISION, None)
-            known_revision = entry.revision
-            known = entry.backend if entry.is_registered() else None
-            same = change.backend == known
-        if same:
-            return ''
-        if change.revision.epoch < self.revision.epoch:
-            return 'older_epoch'
-        if change.revision > known_revision:
-            return 'older_version'
-        if change.revision == known_revision:
-            return 'same_revision_other_content'
-        return 'older_revision'
-
     def remove_missing(
         self,
         names: Iterable[str],
@@ -140,12 +92,24 @@
             and name not in present
             and entry.revision <= revision
         ]
+        self._held.drop_missing(present)
         for name in missing:
             self._apply_backend(
                 BackendChange(name, revision, None), now, grace_s
             )
         return missing
 
+    def apply_held(self, now: float) -> list[BackendChange]:
+        """Apply the records that were held back for long enough; return them.
+
+        These are records of a restored platform that the backends have not
+        replaced.
+        """
+        due = self._held.take_due(now)
+        for change in due:
+            self._store_backend(self._by_name[change.name], change, now, 0)
+        return due
+
     def find_by_name(self, name: str) -> Entry | None:
         """Return the entry of the backend with a name."""
         return self._by_name.get(name)
@@ -183,6 +147,7 @@
             and now - entry.removed_at > REMOVED_RETENTION_S
         ]
         for name in expired:
+            self._held.drop(name)
             entry = self._by_name.pop(name)
             self.purged_revision = max(self.purged_revision, entry.revision)
             if entry.backend and self._by_tag.get(entry.backend.tag) is entry:
@@ -208,6 +173,11 @@
             for name, entry in self._by_name.items()
             if entry.revision > after
         ]
+        changes += [
+            change
+            for change in self._held.list_changes(after)
+            if self._by_name[change.name].is_registered()
+        ]
         if self.configuration and self.configuration_revision > after:
             changes.append(
                 ConfigurationChange(
@@ -247,20 +217,37 @@
             self._by_name[change.name] = entry
         if change.revision <= entry.revision:
             return False
+        if change.revision.epoch > entry.revision.epoch:
+            if entry.is_repeated_by(change):
+                entry.revision = change.revision
+                return False
+            if entry.outdates(change):
+                self._held.hold(change, now)
+                return False
+        self._store_backend(entry, change, now, grace_s)
+        return True
+
+    def _store_backend(
+        self,
+        entry: Entry,
+        change: BackendChange,
+        now: float,
+        grace_s: float,
+    ) -> None:
+        self._held.drop(change.name)
         entry.revision = change.revision
         entry.readable = change.readable
         self._by_service = None
         if not change.readable:
-            return True
+            return
         if change.backend is None:
-            _mark_removed(entry, now, grace_s)
-            return True
+            entry.mark_removed(now, grace_s)
+            return
         entry.removed_at = None
         entry.backend = change.backend
         entry.cold_until = now + change.backend.cold_ms / 1000
         self._index_tag(entry)
-        self._end_grace_of_reused(entry)
-        return True
+        _end_grace_of_reused(self.entries(), entry)
 
     def _index_tag(self, entry: Entry) -> None:
         """Map the backend's tag to the entry unless a live backend has it."""
@@ -270,20 +257,6 @@
         if current is None or current is entry or not current.is_registered():
             self._by_tag[entry.backend.tag] = entry
 
-    def _end_grace_of_reused(self, entry: Entry) -> None:
-        """End the grace period of removed backends whose address is reused."""
-        reusing = entry.backend
-        if reusing is None:
-            return
-        for other in self._by_name.values():
-            if other is entry or other.removed_at is None or not other.backend:
-                continue
-            if (other.backend.ip, other.backend.port) == (
-                reusing.ip,
-                reusing.port,
-            ):
-                other.usable_until = 0
-
     def _is_candidate(self, entry: Entry, backend: Backend) -> bool:
         """Tell whether a backend is a candidate for new flows.
 
@@ -307,9 +280,16 @@
         return {key: tuple(found) for key, found in index.items()}
 
 
-def _mark_removed(entry: Entry, now: float, grace_s: float) -> None:
-    if entry.removed_at is not None:
+def _end_grace_of_reused(entries: Iterable[Entry], entry: Entry) -> None:
+    """End the grace period of removed backends whose address is reused."""
+    reusing = entry.backend
+    if reusing is None:
         return
-    entry.removed_at = now
-    lapsed = entry.backend is not None and not entry.backend.draining
-    entry.usable_until = now + grace_s if lapsed and grace_s else 0
+    for other in entries:
+        if other is entry or other.removed_at is None or not other.backend:
+            continue
+        if (other.backend.ip, other.backend.port) == (
+            reusing.ip,
+            reusing.port,
+        ):
+            other.usable_until = 0
--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from apricottally.effects import LogValue
-from apricottally.tagged import messages
+from apricottally.tagged import messages, recordlogs
 from apricottally.tagged.effects import (
     Effect,
     PullSnapshot,
@@ -49,7 +49,9 @@
     logs, applied = _apply(state, event.changes, event.now)
     effects += logs
     missing = _remove_missing(state, event.changes, event.revision, event.now)
-    effects += [_log_missing(state, name, event.now) for name in missing]
+    effects += [
+        recordlogs.describe_missing(state, name, event.now) for name in missing
+    ]
     _advance_revision(state, event.revision, event.requested_at, event.now)
     if event.revision.epoch != known_revision.epoch:
         # Others cannot apply a difference between two epochs.
@@ -82,6 +84,14 @@
     return effects + _announce(state, event.after, event.changes, event.now)
 
 
+def apply_held_records(state: NodeState, now: float) -> list[Effect]:
+    """Apply records of a restored platform that no backend has replaced."""
+    return [
+        recordlogs.describe_change(state, change, now)
+        for change in state.catalog.apply_held(now)
+    ]
+
+
 def receive_delta(state: NodeState, delta: Delta, now: float) -> list[Effect]:
     """Apply changes from another node and relay them if they are new.
 
@@ -199,9 +209,9 @@
     for change in changes:
         if state.catalog.apply(change, now, grace_s):
             applied.append(change)
-            logs.append(_log_change(state, change, now))
+            logs.append(recordlogs.describe_change(state, change, now))
         else:
-            logs += _log_ignored(state, change)
+            logs += _report_ignored(state, change)
     state.invariants.check(
         'configuration_version_monotone',
         holds=state.configuration_version >= version,
@@ -210,24 +220,13 @@
     return logs, applied
 
 
-def _log_ignored(state: NodeState, change: Change) -> list[WriteLog]:
-    """Count and log a change that was not applied unless it is known."""
-    reason = state.catalog.explain_ignored(change)
+def _report_ignored(state: NodeState, change: Change) -> list[Effect]:
+    """Count and log a change that was not applied, unless it is known."""
+    reason = recordlogs.explain_ignored(state.catalog, change)
     if not reason:
         return []
     state.counters.add('change_ignored', reason)
-    if isinstance(change, ConfigurationChange):
-        record = 'configuration'
-    else:
-        record = change.name
-    fields: dict[str, LogValue] = {
-        'record': record,
-        'reason': reason,
-        'epoch': change.revision.epoch,
-        'revision': change.revision.number,
-        'known_revision': state.catalog.revision.number,
-    }
-    return [WriteLog('change_ignored', fields)]
+    return [recordlogs.describe_ignored(state, change, reason)]
 
 
 def _clear_suspicion_on_restart(state: NodeState, change: Change) -> None:
@@ -258,14 +257,7 @@
         return []
     state.freshness.record_outage(now)
     state.counters.add('platform_restored', 'epoch')
-    fields: dict[str, LogValue] = {
-        'epoch': revision.epoch,
-        'revision': revision.number,
-        'known_epoch': known_revision.epoch,
-        'known_revision': known_revision.number,
-        'version': state.configuration_version,
-    }
-    return [WriteLog('platform_restored', fields)]
+    return [recordlogs.describe_restoration(state, revision)]
 
 
 def _remove_missing(
@@ -278,7 +270,10 @@
     if revision.epoch < state.catalog.revision.epoch:
         return []
     names = [
-        change.name for change in changes if isinstance(change, BackendChange)
+        change.name
+        for change in changes
+        if isinstance(change, BackendChange)
+        and (change.backend is not None or not change.readable)
     ]
     grace_s = state.freshness.lapse_grace_s(now)
     return state.catalog.remove_missing(names, revision, now, grace_s)
@@ -354,48 +349,3 @@
     state.pulling_since = now
     state.counters.add('pulled', 'behind')
     return [PullSnapshot(neighbour.peer.name, neighbour.endpoint)]
-
-
-def _log_change(state: NodeState, change: Change, now: float) -> WriteLog:
-    age_ms = state.freshness.age_ms(now)
-    if isinstance(change, ConfigurationChange):
-        return WriteLog(
-            'configuration_in_force',
-            {
-                'version': change.configuration.version,
-                'epoch': change.revision.epoch,
-                'revision': change.revision.number,
-                'routes': len(change.configuration.routes),
-                'age_ms': age_ms,
-            },
-        )
-    backend = change.backend
-    if not change.readable:
-        status = 'unreadable'
-    elif backend is None:
-        status = 'removed'
-    else:
-        status = 'draining' if backend.draining else 'ready'
-    return WriteLog(
-        'backend_changed',
-        {
-            'backend': change.name,
-            'state': status,
-            'epoch': change.revision.epoch,
-            'revision': change.revision.number,
-            'age_ms': age_ms,
-        },
-    )
-
-
-def _log_missing(state: NodeState, name: str, now: float) -> WriteLog:
-    return WriteLog(
-        'backend_changed',
-        {
-            'backend': name,
-            'state': 'missing',
-            'epoch': state.catalog.revision.epoch,
-            'revision': state.catalog.revision.number,
-            'age_ms': state.freshness.age_ms(now),
-        },
-    )
--- a/apricottally/tagged/flows.py
+++ b/apricottally/tagged/flows.py
@@ -10,7 +10,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from apricottally.tagged.catalog import Entry
+from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.occupancy import Occupancy
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import Repetition, Route
--- a/apricottally/tagged/probing.py
+++ b/apricottally/tagged/probing.py
@@ -6,7 +6,7 @@
 
 from apricottally.effects import LogValue
 from apricottally.tagged import refusals
-from apricottally.tagged.catalog import Entry
+from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import Effect, ProbeBackend, WriteLog
 from apricottally.tagged.events import ProbeEnded
 from apricottally.tagged.records import Backend
--- a/apricottally/tagged/records.py
+++ b/apricottally/tagged/records.py
@@ -26,7 +26,8 @@
 
     `number` is the 64-bit number in packets sent to it, `tag` the 32-bit form
     of it in flows. `cold_ms` is the remaining time for which it is slow after
-    its start, `born_ms` the Unix time of its start.
+    its start, `born_ms` the Unix time of its start. `sequence` rises with each
+    record that it writes after a start.
     """
 
     name: str
@@ -40,6 +41,12 @@
     draining: bool
     cold_ms: int
     born_ms: int
+    sequence: int
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Key by which the records of one backend are ordered."""
+        return self.born_ms, self.sequence
 
 
 class Target(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/apricottally/tagged/refusals.py
+++ b/apricottally/tagged/refusals.py
@@ -6,7 +6,7 @@
 
 from apricottally.addresses import format_ip
 from apricottally.effects import LogValue
-from apricottally.tagged.catalog import Entry
+from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import Effect, Reset, WriteLog
 from apricottally.tagged.packets import RST, FlowPacket
 from apricottally.tagged.records import Route
--- a/apricottally/tagged/selection.py
+++ b/apricottally/tagged/selection.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, TypeAlias
 
-from apricottally.tagged.catalog import Entry
+from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.records import Backend, Route
 
 if TYPE_CHECKING:
--- a/apricottally/tagged/suspicion.py
+++ b/apricottally/tagged/suspicion.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from apricottally.tagged.catalog import Entry
+from apricottally.tagged.catalogentry import Entry
 
 # How long a backend is suspect after its first, second and further misses.
 SUSPICION_DURATIONS_S = (0.3, 1.0, 2.0)
--- a/tests/taggednode.py
+++ b/tests/taggednode.py
@@ -38,6 +38,7 @@
         'draining': False,
         'cold_ms': 0,
         'born_ms': 1,
+        'sequence': 1,
     }
     return Backend(**(defaults | changes))
 
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -102,6 +102,7 @@
         {'service': None},
         {'zone': 7},
         {'born': 'today'},
+        {'seq-no': 'first'},
     ],
 )
 def test_malformed_record_names_no_backend(changes) -> None:
@@ -134,6 +135,7 @@
     assert (backend.ip, backend.port) == ('10.2.0.9', 8080)
     assert backend.draining
     assert (backend.cold_ms, backend.born_ms) == (900, 17)
+    assert backend.sequence == 4
 
 
 @pytest.mark.parametrize(
--- a/tests/test_tagged_restored.py
+++ b/tests/test_tagged_restored.py
@@ -6,7 +6,11 @@
 
 import pytest
 
+from apricottally.tagged import events
+from apricottally.tagged.dissemination import build_snapshot
+from apricottally.tagged.records import BackendChange
 from tests.taggedfleet import Fleet
+from tests.taggednode import TaggedNode, build_backend, rev
 from tests.test_tagged_fleet import BOUND_S, build_fleet, check_in_force
 
 # Calls of a fleet of 9 nodes in the seconds after a restoration: at most three
@@ -56,3 +60,144 @@
     before = fleet.platform.calls
     fleet.run(4)
     assert fleet.platform.calls - before <= 4 * MAX_CALLS_PER_S
+
+
+REMOVED = None
+
+
+def build_node(*known) -> TaggedNode:
+    """Return a node that knows successive states of a backend, and another.
+
+    Of its changes, the platform then loses those after revision 10.
+    """
+    node = TaggedNode(0)
+    node.load_records(10, [build_backend(1), build_backend(2)])
+    for number, fields in enumerate(known, start=11):
+        backend = None if fields is REMOVED else build_backend(1, **fields)
+        change = BackendChange('i-00000001', rev(number), backend)
+        node.apply_changes(number, change)
+    return node
+
+
+def list_used(node: TaggedNode) -> list[str]:
+    return [
+        entry.backend.name
+        for entry in node.state.catalog.list_candidates('core')
+        if not entry.excludes_new_flows(node.now)
+    ]
+
+
+def restore(node: TaggedNode, number=10, **fields) -> None:
+    """List a restored platform, in which the backend has these fields."""
+    backends = [build_backend(1, **fields), build_backend(2)]
+    node.load_records(number, backends, epoch=2)
+
+
+DRAINING = {'draining': True, 'sequence': 5}
+
+
+@pytest.mark.parametrize(
+    ('known', 'restored', 'used'),
+    [
+        ([DRAINING], {}, False),
+        ([DRAINING, REMOVED], {}, False),
+        ([DRAINING, REMOVED], DRAINING, False),
+        ([{'sequence': 4}, REMOVED], {}, False),
+        ([REMOVED], {}, True),
+        ([], {}, True),
+        ([{'sequence': 4}], {}, True),
+        ([DRAINING, REMOVED], {'born_ms': 2}, True),
+        ([{'draining': True, 'born_ms': 2}], {'sequence': 9}, False),
+    ],
+)
+def test_restored_copy_of_backend(known, restored, used) -> None:
+    """Guards against new flows to a backend that drains or has left.
+
+    The table has what a node saw of the backend in the lost seconds, what the
+    restored platform says of it, and whether it may get new flows. A backend
+    whose registration lapsed may, if the copy is its last record.
+    """
+    node = build_node(*known)
+    restore(node, **restored)
+    assert ('i-00000001' in list_used(node)) is used
+    assert 'i-00000002' in list_used(node)
+
+
+@pytest.mark.parametrize(
+    ('written', 'used'),
+    [
+        ({'sequence': 6}, True),
+        ({'sequence': 6, 'draining': True}, False),
+        ({'born_ms': 2}, True),
+        (REMOVED, False),
+    ],
+)
+def test_record_written_again(written, used) -> None:
+    """Guards against a backend that stays unused after it has registered."""
+    node = build_node(DRAINING, REMOVED)
+    restore(node)
+    backend = None if written is REMOVED else build_backend(1, **written)
+    node.apply_changes(11, BackendChange('i-00000001', rev(11, 2), backend))
+    assert ('i-00000001' in list_used(node)) is used
+
+
+def test_copy_counts_after_a_while() -> None:
+    """Guards against a backend that is never used again.
+
+    It lives, but nothing in its record has changed that would be written.
+    """
+    node = build_node(DRAINING)
+    restore(node)
+    node.run(8)
+    assert 'i-00000001' in list_used(node)
+
+
+def test_copy_that_lapses_does_not_count() -> None:
+    """Guards against a dead backend that returns after its copy has lapsed."""
+    node = build_node(DRAINING, REMOVED)
+    restore(node)
+    node.run(1)
+    node.load_records(12, [build_backend(2)], epoch=2)
+    node.run(10)
+    assert 'i-00000001' not in list_used(node)
+
+
+def test_other_node_learns_of_removal() -> None:
+    """Guards against a backend that has left and is used by a new node.
+
+    The new node gets the records of a neighbour that saw the backend leave.
+    """
+    source = build_node(DRAINING, REMOVED)
+    restore(source)
+    node = TaggedNode(0, name='n2')
+    pull(node, source)
+    assert list_used(node) == ['i-00000002']
+
+
+def pull(node: TaggedNode, source: TaggedNode) -> None:
+    after = node.state.catalog.revision
+    snapshot = build_snapshot(source.state, after, source.now)
+    node.submit(events.SnapshotPulled(node.now, node.now, 'n1', snapshot))
+
+
+def test_removal_in_another_epoch() -> None:
+    """Guards against a backend that only the lost changes had registered.
+
+    A node knows that it registered, its neighbour only that it had left before.
+    """
+    node = build_node(REMOVED, {'sequence': 8})
+    source = build_node(REMOVED)
+    source.load_records(10, [build_backend(2)], epoch=2)
+    pull(node, source)
+    node.run(3)
+    assert list_used(node) == ['i-00000002']
+
+
+def test_cold_time_is_not_counted_again() -> None:
+    """Guards against warm backends that count as cold after a restoration."""
+    node = TaggedNode(0)
+    node.load_records(10, [build_backend(1, cold_ms=2000)])
+    node.run(3)
+    node.load_records(10, [build_backend(1, cold_ms=2000)], epoch=2)
+    entry = node.state.catalog.find_by_name('i-00000001')
+    assert entry.cold_until < node.now
