Back off if a list does not give a watch the history that it needs

Cause: a watch that found no history led to a list at once, with no limit, and the list set nothing that could stop the next round.

Change: only the first lost history since an answered watch is followed by a list at once; further ones back off like any failed read.

Evidence: test_lists_without_progress_back_off, 500 calls in 5 s before (one a step of the test), at most 24 allowed.

--- a/apricottally/tagged/platformreads.py
+++ b/apricottally/tagged/platformreads.py
@@ -56,13 +56,15 @@
     """State of this node's reads of the platform.
 
     `must_list` is set before the first list, and if the platform no longer has
-    the history that a watch needs.
+    the history that a watch needs. `lost_histories` counts such watches since
+    the last one that was answered.
     """
 
     phase: Phase = Phase.idle
     must_list: bool = True
     retry_at: float = 0
     failures: int = 0
+    lost_histories: int = 0
     listed_at: float = float('-inf')
 
 
@@ -100,6 +102,7 @@
     A watch without changes confirms that the records are current.
     """
     effects = _finish_read(state, event.now)
+    state.read_state.lost_histories = 0
     state.durations.platform_call.add(event.now - event.requested_at)
     effects += dissemination.apply_watched_changes(state, event)
     return effects + tick(state, event.now)
@@ -109,20 +112,15 @@
     """Handle a failed read.
 
     If the platform has compacted its history, the records are listed at once;
-    after any other failure the node backs off.
+    after any other failure the node backs off, also if the history is lost
+    again after that list.
     """
     reads = state.read_state
     state.counters.add('read_failed', event.reason)
-    if event.compacted and not reads.must_list:
-        reads.must_list = True
-        reads.phase = Phase.idle
-        return [_log_lost_history(state, event.now), *tick(state, event.now)]
+    if event.compacted:
+        return _replace_history(state, event.now)
     reads.failures += 1
-    delay = INITIAL_BACKOFF_S * 2 ** min(reads.failures, 10)
-    delay = min(delay, MAX_BACKOFF_S) * state.rng.uniform(0.5, 1)
-    rank = min(state.neighbours.rank_in_zone(event.now), MAX_RANK)
-    reads.retry_at = event.now + delay + rank * RANK_BACKOFF_S
-    reads.phase = Phase.waiting
+    _back_off(state, reads.failures, event.now)
     if reads.failures > 1:
         return []
     fields: dict[str, LogValue] = {
@@ -133,6 +131,28 @@
     return [WriteLog('platform_lost', fields)]
 
 
+def _replace_history(state: NodeState, now: float) -> list[Effect]:
+    """List the records, as no watch can continue from those known here."""
+    reads = state.read_state
+    reads.must_list = True
+    reads.lost_histories += 1
+    log = _log_lost_history(state, now)
+    if reads.lost_histories > 1:
+        _back_off(state, reads.lost_histories, now)
+        return [log]
+    reads.phase = Phase.idle
+    return [log, *tick(state, now)]
+
+
+def _back_off(state: NodeState, failures: int, now: float) -> None:
+    """Delay the next read; the delay grows with the failures in a row."""
+    delay = INITIAL_BACKOFF_S * 2 ** min(failures, 10)
+    delay = min(delay, MAX_BACKOFF_S) * state.rng.uniform(0.5, 1)
+    rank = min(state.neighbours.rank_in_zone(now), MAX_RANK)
+    state.read_state.retry_at = now + delay + rank * RANK_BACKOFF_S
+    state.read_state.phase = Phase.waiting
+
+
 def _finish_read(state: NodeState, now: float) -> list[Effect]:
     reads = state.read_state
     reads.phase = Phase.idle
--- a/tests/test_tagged_records.py
+++ b/tests/test_tagged_records.py
@@ -110,6 +110,27 @@
     assert calls <= 12
 
 
+def test_lists_without_progress_back_off() -> None:
+    """Guards against lists and watches that follow each other without a pause.
+
+    The store has no history from the revision that its own list returns.
+    """
+    node = TaggedNode(1)
+    found = node.run(0.6)
+    calls = 0
+    for _ in range(500):
+        if node.select_effects(effects.WatchRecords, found):
+            calls += 1
+            found = node.submit(events.ReadFailed(node.now, 'compacted', True))
+        elif node.select_effects(effects.ListRecords, found):
+            calls += 1
+            node.load_records(10, [build_backend(1)])
+            found = node.effects
+        else:
+            found = node.run(0.01)
+    assert calls <= 24
+
+
 def test_list_removes_missing_backend() -> None:
     """Guards against backends that were removed while the history was lost.
 
