Pull a configuration that a neighbour has and the restored platform lacks

What callers would see: a node that starts just after a restoration serves the configuration of the copy until the operator has written again, which the other nodes have left behind: refused routes, old services, and two nodes that answer differently.

Cause: nodes compared their records by the platform's revision alone. The new node has the newest revision and an old configuration; its neighbours have the same revision and a newer one, so that nobody pulls.

Change: heartbeats carry the version of the sender's configuration, and a pull that of the requester's; a higher version leads to a pull whatever the revisions are.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -161,8 +161,11 @@
         """Return all entries, including those of removed backends."""
         return self._by_name.values()
 
-    def list_changes(self, after: Revision) -> tuple[Change, ...]:
-        """Return the changes after a revision, including removals."""
+    def list_changes(self, after: Revision, version: int) -> tuple[Change, ...]:
+        """Return the changes after a revision, including removals.
+
+        The configuration is among them if its version is above `version`.
+        """
         changes: list[Change] = [
             BackendChange(
                 name,
@@ -178,7 +181,7 @@
             for change in self._held.list_changes(after)
             if self._by_name[change.name].is_registered()
         ]
-        if self.configuration and self.configuration_revision > after:
+        if self.configuration and self.configuration.version > version:
             changes.append(
                 ConfigurationChange(
                     self.configuration_revision, self.configuration
--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -23,7 +23,7 @@
     RecordsListed,
     SnapshotPulled,
 )
-from apricottally.tagged.messages import Delta, Snapshot
+from apricottally.tagged.messages import Delta, Snapshot, SnapshotRequest
 from apricottally.tagged.neighbours import Neighbour
 from apricottally.tagged.records import (
     BackendChange,
@@ -120,23 +120,26 @@
     return effects + _relay(state, near, delta.after, delta.changes, now)
 
 
-def compare_revision(
+def compare_records(
     state: NodeState,
     neighbour: Neighbour,
     age_ms: int,
     now: float,
 ) -> list[Effect]:
-    """Compare a neighbour's revision with that of this node.
+    """Compare a neighbour's records with those of this node.
 
-    An equal revision confirms the records; a higher one leads to a pull.
+    An equal revision confirms the records; a higher revision, or a
+    configuration with a higher version, leads to a pull.
     """
     known_revision = state.catalog.revision
     if neighbour.revision == NO_REVISION:
         return []
     if neighbour.revision == known_revision:
         state.freshness.confirm(now - age_ms / 1000, now)
-        return []
-    if neighbour.revision < known_revision:
+    if (
+        neighbour.revision <= known_revision
+        and neighbour.version <= state.configuration_version
+    ):
         return []
     if state.behind_since is None:
         state.behind_since = now
@@ -172,13 +175,16 @@
     return effects
 
 
-def build_snapshot(state: NodeState, after: Revision, now: float) -> Snapshot:
-    """Return the records newer than a revision, for a neighbour.
+def build_snapshot(
+    state: NodeState, request: SnapshotRequest, now: float
+) -> Snapshot:
+    """Return the records newer than those of a neighbour.
 
     The snapshot is complete if the neighbour has no records, has those of
     another epoch, or is so far behind that removals it has not seen were
     purged here.
     """
+    after = request.after
     complete = (
         after == NO_REVISION
         or _is_other_epoch(state, after)
@@ -188,7 +194,9 @@
         state.catalog.revision,
         state.freshness.age_ms(now),
         complete,
-        state.catalog.list_changes(NO_REVISION if complete else after),
+        state.catalog.list_changes(
+            NO_REVISION if complete else after, request.version
+        ),
     )
 
 
--- a/apricottally/tagged/heartbeats.py
+++ b/apricottally/tagged/heartbeats.py
@@ -74,7 +74,7 @@
     )
     if heartbeat.sender.zone == state.config.zone:
         state.suspicion.record_neighbour_report(heartbeat.unreachable, now)
-    effects = dissemination.compare_revision(
+    effects = dissemination.compare_records(
         state, neighbour, heartbeat.age_ms, now
     )
     if is_new:
@@ -129,6 +129,7 @@
         state.heartbeat_sequence,
         state.stopping,
         state.catalog.revision,
+        state.configuration_version,
         state.freshness.age_ms(now),
         state.occupancy.list_loads(MAX_LOADS),
         state.suspicion.list_unreachable(now),
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -49,7 +49,9 @@
     """Periodic state report of a node.
 
     The sender has all record changes up to `revision`; `age_ms` is the time
-    since these were last confirmed to be the newest. `unreachable` are the
+    since these were last confirmed to be the newest. `version` is that of its
+    configuration, 0 without one: a restored platform may have an older one at
+    a higher revision. `unreachable` are the
     tags of backends that a probe did not reach. `known` is a sample of other
     live nodes.
     """
@@ -58,6 +60,7 @@
     sequence: int
     leaving: bool
     revision: Revision
+    version: int
     age_ms: int
     loads: tuple[Load, ...]
     unreachable: tuple[int, ...]
@@ -74,6 +77,16 @@
     changes: tuple[Change, ...]
 
 
+class SnapshotRequest(msgspec.Struct, frozen=True):
+    """Request for records that are newer than those of the requesting node.
+
+    `after` is the revision of its records, `version` that of its configuration.
+    """
+
+    after: Revision
+    version: int
+
+
 class Snapshot(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """A node's records that are newer than those of the requesting node.
 
--- a/apricottally/tagged/neighbours.py
+++ b/apricottally/tagged/neighbours.py
@@ -46,6 +46,7 @@
     sequence: int = 0
     leaving: bool = False
     revision: Revision = NO_REVISION
+    version: int = 0
 
     @property
     def endpoint(self) -> Endpoint:
@@ -90,6 +91,7 @@
             neighbour.sequence = heartbeat.sequence
             neighbour.leaving = heartbeat.leaving
             neighbour.revision = heartbeat.revision
+            neighbour.version = heartbeat.version
         for peer in heartbeat.known:
             self._mention(peer, now)
         return neighbour, is_new
--- a/apricottally/tagged/networkcalls.py
+++ b/apricottally/tagged/networkcalls.py
@@ -13,7 +13,7 @@
 
 from apricottally.errors import CompactedError, PlatformError, PullError
 from apricottally.tagged import effects, events
-from apricottally.tagged.messages import Snapshot
+from apricottally.tagged.messages import Snapshot, SnapshotRequest
 from apricottally.tagged.records import Backend, Change
 from apricottally.tagged.revisions import Revision
 from apricottally.tagged.snapshots import fetch_snapshot
@@ -146,10 +146,11 @@
         requested_at = self._loop.time()
         snapshot: Snapshot | None = None
         problem = ''
+        request = SnapshotRequest(
+            self._state.catalog.revision, self._state.configuration_version
+        )
         try:
-            snapshot = await fetch_snapshot(
-                effect.endpoint, self._state.catalog.revision
-            )
+            snapshot = await fetch_snapshot(effect.endpoint, request)
         except PullError as error:
             problem = str(error)
         self._submit(
--- a/apricottally/tagged/node.py
+++ b/apricottally/tagged/node.py
@@ -14,12 +14,11 @@
 from apricottally.sockets import DatagramSocket, open_datagram_socket
 from apricottally.tagged import dissemination, effects, events
 from apricottally.tagged.jsonlog import JsonLog
-from apricottally.tagged.messages import Snapshot
+from apricottally.tagged.messages import Snapshot, SnapshotRequest
 from apricottally.tagged.networkcalls import NetworkCalls, Platform
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import Backend
 from apricottally.tagged.reducer import reduce
-from apricottally.tagged.revisions import Revision
 from apricottally.tagged.snapshots import open_snapshot_server
 from apricottally.tagged.state import NodeState
 
@@ -137,9 +136,11 @@
         """Write a structured log line."""
         self._log.write(self.loop.time(), event, fields)
 
-    def build_snapshot(self, after: Revision) -> Snapshot:
-        """Return this node's records that are newer than a revision."""
-        return dissemination.build_snapshot(self.state, after, self.loop.time())
+    def build_snapshot(self, request: SnapshotRequest) -> Snapshot:
+        """Return this node's records that are newer than a neighbour's."""
+        return dissemination.build_snapshot(
+            self.state, request, self.loop.time()
+        )
 
     def close(self) -> None:
         """Cancel calls in progress and write the remaining log lines."""
--- a/apricottally/tagged/snapshots.py
+++ b/apricottally/tagged/snapshots.py
@@ -1,8 +1,8 @@
 """Transfer of record snapshots between nodes over TCP.
 
-The requesting node sends the epoch and the number of its revision as 8 bytes
-each, big-endian. The response is a 4-byte big-endian length, followed by the
-snapshot compressed with zlib.
+The requesting node sends the epoch and the number of its revision, and the
+version of its configuration, as 8 bytes each, big-endian. The response is a
+4-byte big-endian length, followed by the snapshot compressed with zlib.
 """
 
 from __future__ import annotations
@@ -16,28 +16,35 @@
 
 from apricottally.addresses import Endpoint
 from apricottally.errors import PullError, WireError
-from apricottally.tagged.messages import Snapshot, decode_snapshot, encode
+from apricottally.tagged.messages import (
+    Snapshot,
+    SnapshotRequest,
+    decode_snapshot,
+    encode,
+)
 from apricottally.tagged.revisions import Revision
 from apricottally.tagged.tcpserver import open_server
 
-_REVISION = struct.Struct('>QQ')
+_REQUEST = struct.Struct('>QQQ')
 _LENGTH = struct.Struct('>I')
 TIMEOUT_S = 0.6
 MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
 # Errors that make a transfer fail; an early end of stream is an EOFError.
 _TRANSFER_ERRORS = (OSError, EOFError, zlib.error, WireError)
 
-BuildSnapshot = Callable[[Revision], Snapshot]
+BuildSnapshot = Callable[[SnapshotRequest], Snapshot]
 
 
-async def fetch_snapshot(endpoint: Endpoint, after: Revision) -> Snapshot:
-    """Fetch a node's records newer than the revision `after`.
+async def fetch_snapshot(
+    endpoint: Endpoint, request: SnapshotRequest
+) -> Snapshot:
+    """Fetch the records of a node that are newer than the requesting node's.
 
     Raises `PullError`.
     """
     try:
         async with asyncio.timeout(TIMEOUT_S):
-            return await _transfer(endpoint, after)
+            return await _transfer(endpoint, request)
     except _TRANSFER_ERRORS as error:
         raise PullError(repr(error)) from error
 
@@ -53,10 +60,11 @@
     return open_server(endpoint, partial(_serve, build))
 
 
-async def _transfer(endpoint: Endpoint, after: Revision) -> Snapshot:
+async def _transfer(endpoint: Endpoint, request: SnapshotRequest) -> Snapshot:
     reader, writer = await asyncio.open_connection(*endpoint)
     with closing(writer):
-        writer.write(_REVISION.pack(after.epoch, after.number))
+        after = request.after
+        writer.write(_REQUEST.pack(after.epoch, after.number, request.version))
         compressed = await _read_response(reader)
     return decode_snapshot(zlib.decompress(compressed))
 
@@ -83,8 +91,9 @@
     writer: asyncio.StreamWriter,
     build: BuildSnapshot,
 ) -> None:
-    header = await reader.readexactly(_REVISION.size)
-    after = Revision(*_REVISION.unpack(header))
-    compressed = zlib.compress(encode(build(after)), 1)
+    header = await reader.readexactly(_REQUEST.size)
+    epoch, number, version = _REQUEST.unpack(header)
+    request = SnapshotRequest(Revision(epoch, number), version)
+    compressed = zlib.compress(encode(build(request)), 1)
     writer.write(_LENGTH.pack(len(compressed)) + compressed)
     await writer.drain()
--- a/tests/taggedfleet.py
+++ b/tests/taggedfleet.py
@@ -17,7 +17,12 @@
 from apricottally.tagged.reducer import reduce
 from apricottally.tagged.revisions import Revision
 from apricottally.tagged.state import NodeConfig, NodeState
-from tests.taggednode import TICK_S, build_backend, build_configuration
+from tests.taggednode import (
+    TICK_S,
+    build_backend,
+    build_configuration,
+    build_request,
+)
 
 PORT = 7720
 
@@ -215,7 +220,7 @@
         snapshot = None
         if source is not None and state is not None:
             snapshot = dissemination.build_snapshot(
-                source, state.catalog.revision, self.now
+                source, build_request(state), self.now
             )
         event = events.SnapshotPulled(
             self.now, requested_at, effect.peer, snapshot
--- a/tests/taggednode.py
+++ b/tests/taggednode.py
@@ -4,6 +4,7 @@
 import random
 
 from apricottally.tagged import effects, events, packets
+from apricottally.tagged.messages import SnapshotRequest
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import (
     Backend,
@@ -73,6 +74,11 @@
     return Revision(epoch, number)
 
 
+def build_request(state: NodeState) -> SnapshotRequest:
+    """Return the request with which a node pulls from a neighbour."""
+    return SnapshotRequest(state.catalog.revision, state.configuration_version)
+
+
 class TaggedNode:
     """Feeds events to a reducer and keeps the effects of the last one."""
 
--- a/tests/test_tagged_load.py
+++ b/tests/test_tagged_load.py
@@ -14,6 +14,7 @@
         'sequence': sequence,
         'leaving': False,
         'revision': rev(10),
+        'version': 1,
         'age_ms': 0,
         'loads': tuple(loads),
         'unreachable': (),
--- a/tests/test_tagged_process.py
+++ b/tests/test_tagged_process.py
@@ -19,12 +19,12 @@
 from apricottally.tagged.events import ProbeEnded
 from apricottally.tagged.httpresponder import open_http_responder
 from apricottally.tagged.jsonlog import MAX_PENDING_BYTES, JsonLog
+from apricottally.tagged.messages import SnapshotRequest
 from apricottally.tagged.networkcalls import NetworkCalls
-from apricottally.tagged.revisions import NO_REVISION, Revision
 from apricottally.tagged.snapshots import fetch_snapshot, open_snapshot_server
 from tests.asyncruns import iterate_sequentially, run, wait_until
 from tests.fakestore import open_fake_store
-from tests.taggednode import TaggedNode, build_backend
+from tests.taggednode import TaggedNode, build_backend, rev
 
 # Log lines written while the reader is blocked.
 LINE_COUNT = 20_000
@@ -325,15 +325,16 @@
         source = TaggedNode(3)
         port = find_ports(1)[0]
         endpoint = ('127.0.0.1', port)
+        request = SnapshotRequest(rev(5, 2), 3)
 
-        def build(after: Revision):
-            return build_snapshot(source.state, after, source.now)
+        def build(request: SnapshotRequest):
+            return build_snapshot(source.state, request, source.now)
 
         async with open_snapshot_server(endpoint, build):
-            fetched = await fetch_snapshot(endpoint, NO_REVISION)
-            assert fetched == build(NO_REVISION)
+            fetched = await fetch_snapshot(endpoint, request)
+            assert fetched == build(request)
         with pytest.raises(PullError):
-            await fetch_snapshot(endpoint, NO_REVISION)
+            await fetch_snapshot(endpoint, request)
 
     run(scenario())
 
--- a/tests/test_tagged_records.py
+++ b/tests/test_tagged_records.py
@@ -4,13 +4,19 @@
 
 from apricottally.tagged import effects, events
 from apricottally.tagged.dissemination import build_snapshot
-from apricottally.tagged.messages import Delta, Peer, encode
+from apricottally.tagged.messages import (
+    Delta,
+    Peer,
+    SnapshotRequest,
+    encode,
+)
 from apricottally.tagged.records import BackendChange, ConfigurationChange
 from apricottally.tagged.revisions import NO_REVISION
 from tests.taggednode import (
     TaggedNode,
     build_backend,
     build_configuration,
+    build_request,
     build_route,
     rev,
 )
@@ -246,7 +252,8 @@
     """Guards against snapshots that repeat records the requester has."""
     node = TaggedNode(3)
     node.apply_changes(20, BackendChange('i-00000001', rev(20), None))
-    snapshot = build_snapshot(node.state, after, node.now)
+    request = SnapshotRequest(after, 1 if after != NO_REVISION else 0)
+    snapshot = build_snapshot(node.state, request, node.now)
     assert len(snapshot.changes) == count
 
 
@@ -254,7 +261,9 @@
     """Guards against a node that cannot start while the store is down."""
     source = TaggedNode(3)
     node = TaggedNode(0, name='n2')
-    snapshot = build_snapshot(source.state, NO_REVISION, source.now)
+    snapshot = build_snapshot(
+        source.state, build_request(node.state), source.now
+    )
     node.submit(events.SnapshotPulled(node.now, node.now, 'n1', snapshot))
     assert node.state.ready
     assert len(node.state.catalog.list_candidates('core')) == 3
--- a/tests/test_tagged_restored.py
+++ b/tests/test_tagged_restored.py
@@ -10,8 +10,13 @@
 from apricottally.tagged.dissemination import build_snapshot
 from apricottally.tagged.records import BackendChange
 from tests.taggedfleet import Fleet
-from tests.taggednode import TaggedNode, build_backend, rev
-from tests.test_tagged_fleet import BOUND_S, build_fleet, check_in_force
+from tests.taggednode import TaggedNode, build_backend, build_request, rev
+from tests.test_tagged_fleet import (
+    BOUND_S,
+    build_fleet,
+    check_in_force,
+    find_reader,
+)
 
 # Calls of a fleet of 9 nodes in the seconds after a restoration: at most three
 # a second and node.
@@ -175,8 +180,9 @@
 
 
 def pull(node: TaggedNode, source: TaggedNode) -> None:
-    after = node.state.catalog.revision
-    snapshot = build_snapshot(source.state, after, source.now)
+    snapshot = build_snapshot(
+        source.state, build_request(node.state), source.now
+    )
     node.submit(events.SnapshotPulled(node.now, node.now, 'n1', snapshot))
 
 
@@ -201,3 +207,37 @@
     node.load_records(10, [build_backend(1, cold_ms=2000)], epoch=2)
     entry = node.state.catalog.find_by_name('i-00000001')
     assert entry.cold_until < node.now
+
+
+@pytest.mark.parametrize('victims', ['one', 'all_but_one', 'reader'])
+@pytest.mark.parametrize('when', ['during', 'after'])
+def test_restarted_node_gets_lost_configuration(victims, when) -> None:
+    """Guards against a node that starts with a configuration from the copy.
+
+    Its neighbours know of a newer one, which has been acknowledged; the
+    operator has not written it again yet.
+    """
+    fleet = build_fleet(5, 9)
+    older = fleet.copy_platform()
+    fleet.platform.put_configuration(2)
+    fleet.run(1)
+    names = sorted(fleet.nodes)
+    reader = find_reader(fleet)
+    killed = {
+        'one': names[:1],
+        'all_but_one': [name for name in names if name != reader],
+        'reader': [reader],
+    }[victims]
+    if when == 'during':
+        for name in killed:
+            fleet.kill(name)
+    fleet.restore_platform(older, 1)
+    fleet.run(0.2)
+    for name in killed:
+        fleet.kill(name)
+        fleet.start(name)
+    fleet.run(BOUND_S)
+    check_in_force(fleet, 2)
+    fleet.platform.put_configuration(3)
+    fleet.run(BOUND_S)
+    check_in_force(fleet, 3)
--- a/tests/test_tagged_robustness.py
+++ b/tests/test_tagged_robustness.py
@@ -254,6 +254,7 @@
         'sequence': 1,
         'leaving': False,
         'revision': NO_REVISION,
+        'version': 0,
         'age_ms': 0,
         'loads': (),
         'unreachable': (),
