Restore the store in the soak, and check that no process goes back

The soak of real processes brings the store back from an older copy: it publishes configurations, takes the store away, restores the copy, lets the operator and the backends write again what was lost, and publishes once more. While it runs, the configuration version of each process is read twice a second; one that falls is a violation, and a check that fails is reported. Backends count their records (seq-no), as on the platform.

--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -89,7 +89,7 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def put_server(self, name: str, **changes) -> None:
+    def put_server(self, name: str, sequence: int = 1, **changes) -> None:
         defaults = {
             'service': 'core',
             'address': '127.0.0.1:9',
@@ -98,11 +98,18 @@
             'slots': 2,
             'state': 'ready',
             'cold-left-ms': 0,
-            'seq-no': 1,
+            'seq-no': sequence,
             'born': 17,
         }
         self.put(f'servers/{name}', defaults | changes)
 
+    def count_records(self, name: str) -> int:
+        """Return the number in a backend's record, 0 if it has none."""
+        item = self.items.get(f'servers/{name}')
+        if item is None or item.value is None:
+            return 0
+        return json.loads(item.value)['seq-no']
+
     def put_config(self, version: int, routes: list[dict]) -> None:
         self.put(
             'op/config',
--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -63,7 +63,10 @@
 
 async def run_scenario(deployment: Deployment, seconds: int) -> list[str]:
     await deployment.open()
-    polling = asyncio.create_task(deployment.poll_readiness())
+    polling = [
+        asyncio.create_task(deployment.poll_readiness()),
+        asyncio.create_task(deployment.check_versions()),
+    ]
     await asyncio.sleep(3)
     traffic = [
         asyncio.create_task(generate_traffic(deployment, client))
@@ -78,7 +81,14 @@
         task.cancel()
     with suppress(asyncio.CancelledError):
         await asyncio.gather(*traffic)
-    polling.cancel()
+    for task in polling:
+        task.cancel()
+    ended = await asyncio.gather(*polling, return_exceptions=True)
+    deployment.results.violations += [
+        f'a check failed: {error!r}'
+        for error in ended
+        if isinstance(error, Exception)
+    ]
     await deployment.close()
     repeated = [
         request_id
--- a/tests/faults/deployment.py
+++ b/tests/faults/deployment.py
@@ -192,6 +192,9 @@
     def publish_configuration(self) -> None:
         """Publish a configuration with the two services and `extra_routes`."""
         self.version += self.rng.randint(1, 3)
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
         ports = [*SERVICES.values(), *range(600, 600 + self.extra_routes)]
         names = {port: name for name, port in SERVICES.items()}
         routes = [
@@ -224,16 +227,31 @@
         self.put_backend(backend)
         return backend
 
-    def put_backend(self, backend: Backend, **changes) -> None:
+    def put_backend(self, backend: Backend) -> None:
         ip = f'127.{self.subnet}.2.{backend.number % 250 + 1}'
+        backend.records += 1
         self.store.put_server(
             f'i-{backend.number:08x}',
             service=backend.service,
             address=f'{ip}:{self.base_port}',
             zone='ab'[backend.number % 2],
-            **changes,
+            state=backend.state,
+            sequence=backend.records,
         )
 
+    def write_again(self) -> None:
+        """Write what a store lost that was restored from an older copy.
+
+        The records of backends that have left since then lapse.
+        """
+        self._write_configuration()
+        for backend in self.backends.values():
+            name = f'i-{backend.number:08x}'
+            if not backend.alive:
+                self.store.put(f'servers/{name}', None)
+            elif self.store.count_records(name) < backend.records:
+                self.put_backend(backend)
+
     def forward(self, payload: bytes, source: tuple) -> None:
         """Send a client's packet to a ready node, like the network fabric."""
         ready = [node for node in self.nodes if node.ready] or self.nodes
@@ -273,6 +291,27 @@
                     await node.start()
             await asyncio.sleep(0.5)
 
+    async def check_versions(self) -> None:
+        """Check that no process goes back to an older configuration."""
+        seen: dict[int, int] = {}
+        while True:
+            for node in self.nodes:
+                await self._check_version(node, seen)
+            await asyncio.sleep(0.5)
+
+    async def _check_version(self, node: Node, seen: dict[int, int]) -> None:
+        """Check a node's version; `seen` is that last seen, by process."""
+        process = node.process
+        body = await node.fetch(self.base_port + 3, '/metrics')
+        if process is None or process is not node.process or not body:
+            return
+        version = _read_version(body)
+        if version < seen.get(process.pid, 0):
+            self.results.violations.append(
+                f'{node.name} went back to version {version}'
+            )
+        seen[process.pid] = version
+
     def _send(self, payload: bytes, node: Node) -> None:
         self._transports[0].sendto(payload, (node.ip, self.base_port))
 
@@ -312,6 +351,12 @@
     writer.close()
 
 
+def _read_version(metrics: str) -> int:
+    """Return the version of the configuration in a metrics page."""
+    _, _, rest = metrics.partition('\napricottally_configuration_version ')
+    return int(rest.split()[0]) if rest else 0
+
+
 def _read_process_state(pid: int) -> str:
     """Return the kernel's state and wait channel of a process, for reports."""
     folder = Path('/proc') / str(pid)
--- a/tests/faults/faults.py
+++ b/tests/faults/faults.py
@@ -111,6 +111,27 @@
     deployment.store.mode = 'good'
 
 
+async def restore_store(deployment: Deployment) -> None:
+    """Bring the store back from an older copy.
+
+    It loses some configurations. The operator and the backends then write again
+    what it lost, and the operator publishes one more.
+    """
+    store = deployment.store
+    older = store.take_copy()
+    for _ in range(deployment.rng.randint(0, 4)):
+        deployment.publish_configuration()
+        await asyncio.sleep(deployment.rng.uniform(0.2, 1))
+    store.mode = deployment.rng.choice(['503', 'silent', 'reset'])
+    await asyncio.sleep(deployment.rng.uniform(0, 2))
+    store.restore(older)
+    store.mode = 'good'
+    await asyncio.sleep(deployment.rng.uniform(0, 1))
+    deployment.write_again()
+    await asyncio.sleep(deployment.rng.uniform(0, 2))
+    deployment.publish_configuration()
+
+
 async def configure(deployment: Deployment) -> None:
     """Publish several configurations with up to 300 additional routes."""
     for _ in range(deployment.rng.randint(1, 4)):
@@ -136,7 +157,8 @@
     if not backend.alive:
         return
     await deployment.add_backend(backend.service)
-    deployment.put_backend(backend, state='draining')
+    backend.state = 'draining'
+    deployment.put_backend(backend)
     await asyncio.sleep(4)
     backend.alive = False
     deployment.store.put(f'servers/i-{backend.number:08x}', None)
@@ -161,6 +183,7 @@
     slow_store,
     reset_store_connections,
     drop_history,
+    restore_store,
     configure,
     crash_backend,
     replace_backend,
--- a/tests/faults/hosts.py
+++ b/tests/faults/hosts.py
@@ -34,7 +34,8 @@
 class Backend(asyncio.DatagramProtocol):
     """A backend: accepts flows, runs requests and responds to the client.
 
-    `flows` contains the state of each flow by client IP and port.
+    `flows` contains the state of each flow by client IP and port. `state` is
+    that of its record in the store, `records` the number of its records.
     """
 
     def __init__(self, number: int, service: str, results: RunResults) -> None:
@@ -43,6 +44,8 @@
         self.results = results
         self.flows: dict[tuple[int, int], dict] = {}
         self.alive = True
+        self.state = 'ready'
+        self.records = 0
         self.disturbed_at: float = 0
         self.transport = None
         self.client_port = 0
