List again if the etcd behind a watch was restored from a copy

What operators would see: after etcd was restored, changes that they had published came into force on no node until its revision had passed the old one, and those up to there never.

A restored etcd accepts a watch from a revision that it does not have yet, and gives out those before it a second time; nothing is compacted, so nothing fails.

Change: the client keeps the cluster id of etcd's response headers, which a restored cluster has anew. A watch that is answered by another cluster is a lost history, and a list whose pages come from two clusters fails. The stand-in can be restored, with or without a raised revision.

--- a/apricottally/platformclient.py
+++ b/apricottally/platformclient.py
@@ -62,6 +62,8 @@
         self._endpoint = endpoint
         self._limits = limits
         self._channel = Channel(*endpoint)
+        # Identity of the store that answered last; a restored one has another.
+        self._cluster_id = 0
 
     def close(self) -> None:
         """Close the connection."""
@@ -70,7 +72,9 @@
     async def list_records(self) -> tuple[tuple[Record, ...], int]:
         """Return all records and VMs, and the revision they were read at."""
         own, revision = await self.list_prefix(model.ROOT_PREFIX)
+        cluster_id = self._cluster_id
         machines, _ = await self.list_prefix(model.MACHINE_PREFIX, revision)
+        self._check_cluster(cluster_id)
         return tuple(own + machines), revision
 
     async def list_prefix(
@@ -85,6 +89,7 @@
         """
         records: list[Record] = []
         start = prefix.encode()
+        cluster_id = 0
         while True:
             request = pb.RangeRequest(
                 key=start,
@@ -93,6 +98,8 @@
                 revision=revision,
             )
             answer = await self._range(request)
+            self._check_cluster(cluster_id)
+            cluster_id = self._cluster_id
             revision = revision or answer.header.revision
             records.extend(map(decode_entry, answer.kvs))
             if not answer.more:
@@ -137,11 +144,13 @@
         """Yield changes after a revision, and the revision to resume from.
 
         A lost watch is resumed at the last revision received. Raises
-        `CompactedError` if the platform no longer has that revision, so that
-        the records must be listed again, and `PlatformError` if the platform
-        does not answer.
+        `CompactedError` if the platform no longer has that revision or was
+        restored, so that the records must be listed again, and
+        `PlatformError` if the platform does not answer.
         """
-        watch = PlatformWatch(self._endpoint, self._limits, revision)
+        watch = PlatformWatch(
+            self._endpoint, self._limits, revision, self._cluster_id
+        )
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(watch.close)
             while True:
@@ -161,8 +170,18 @@
                 async for changed, seen in self.watch(revision):
                     yield RecordUpdate(changed, seen, complete=False)
 
+    def _check_cluster(self, cluster_id: int) -> None:
+        """Raise `PlatformError` if another store has answered since then.
+
+        `cluster_id` is 0 before the first answer.
+        """
+        if cluster_id not in {0, self._cluster_id}:
+            raise PlatformError('the platform was restored during the list')
+
     async def _range(self, request: pb.RangeRequest) -> pb.RangeResponse:
-        return await self._call(lambda stub: stub.Range(request))
+        answer = await self._call(lambda stub: stub.Range(request))
+        self._cluster_id = answer.header.cluster_id
+        return answer
 
     async def _execute_if_unchanged(
         self,
--- a/apricottally/platformwatch.py
+++ b/apricottally/platformwatch.py
@@ -29,6 +29,8 @@
 
     The two watches advance independently, each with its own revision. A
     caller that resumes from `revision` starts at the lower of the two.
+    `cluster_id` identifies the store that the revision comes from, 0 if that is
+    not known.
     """
 
     def __init__(
@@ -36,10 +38,12 @@
         endpoint: Endpoint,
         limits: ClientLimits,
         revision: int,
+        cluster_id: int = 0,
     ) -> None:
         self._endpoint = endpoint
         self._limits = limits
         self._revisions = {_ROOT_WATCH_ID: revision, _VM_WATCH_ID: revision}
+        self._cluster_id = cluster_id
         self._stack = AsyncExitStack()
         self._stream: Any = None
         self._created_count = 0
@@ -123,6 +127,7 @@
 
     def _process(self, response: pb.WatchResponse) -> tuple[Record, ...]:
         """Return the records of a message and advance its watch."""
+        self._check_cluster(response.header.cluster_id)
         if response.compact_revision:
             raise CompactedError('the revision is compacted')
         if response.canceled:
@@ -138,6 +143,16 @@
             self._advance(response.watch_id, response.header.revision)
         return tuple(map(_decode_event, response.events))
 
+    def _check_cluster(self, cluster_id: int) -> None:
+        """Raise `CompactedError` if the store was restored from a copy.
+
+        It accepts a watch from a revision that it does not have yet, and gives
+        out the revisions before it a second time.
+        """
+        self._cluster_id = self._cluster_id or cluster_id
+        if cluster_id != self._cluster_id:
+            raise CompactedError('the platform was restored')
+
     def _advance(self, watch_id: int, revision: int) -> None:
         latest = max(self._revisions[watch_id], revision)
         self._revisions[watch_id] = latest
--- a/standins/platformservice.py
+++ b/standins/platformservice.py
@@ -61,7 +61,9 @@
 
 def build_header(store: Store) -> pb.ResponseHeader:
     """Return a response header with the current revision."""
-    return pb.ResponseHeader(cluster_id=1, member_id=1, revision=store.revision)
+    return pb.ResponseHeader(
+        cluster_id=store.cluster_id, member_id=1, revision=store.revision
+    )
 
 
 class Operations:
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -7,6 +7,7 @@
 import bisect
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from apricottally.etcd_pb2 import Event, KeyValue
 
@@ -33,15 +34,25 @@
     """A revision that does not exist yet."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A snapshot of the store to restore it from."""
+
+    revision: int
+    entries: tuple[KeyValue, ...]
+
+
 class Store:
     """Key-value store with history.
 
+    `cluster_id` changes when the store is restored from a copy, as etcd's does.
     `revision` is that of the last commit. The history up to
     `compacted_revision` is unavailable. `listeners` are called after each
     commit.
     """
 
     def __init__(self) -> None:
+        self.cluster_id = 1
         self.revision = FIRST_REVISION
         self.compacted_revision = 0
         self.listeners: set[Callable[[], object]] = set()
@@ -52,6 +63,30 @@
         self._keys: list[bytes] = []
         self._uncommitted = False
 
+    def take_copy(self) -> StoreCopy:
+        """Return a snapshot of the current entries."""
+        entries = self.list_range(b'\0', OPEN_RANGE_END)
+        return StoreCopy(self.revision, tuple(entries))
+
+    def restore(self, older: StoreCopy, bump: int = 0) -> None:
+        """Go back to a snapshot, without its history.
+
+        `bump` is added to its revision, and the history up to there is marked
+        as compacted: etcd's options `--bump-revision` and `--mark-compacted`.
+        """
+        self.cluster_id += 1
+        self.revision = older.revision + bump
+        self.compacted_revision = self.revision if bump else 0
+        self._events = [Event(type=Event.PUT, kv=kv) for kv in older.entries]
+        self._events.sort(key=lambda event: event.kv.mod_revision)
+        self._event_revisions = [
+            event.kv.mod_revision for event in self._events
+        ]
+        self._events_by_key.clear()
+        for event in self._events:
+            self._events_by_key[event.kv.key].append(event)
+        self._keys = sorted(self._events_by_key)
+
     def find(self, key: bytes) -> KeyValue | None:
         """Return the current entry of a key, None if there is none."""
         events = self._events_by_key.get(key)
--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -214,6 +214,37 @@
     run(scenario())
 
 
+@pytest.mark.parametrize('bump', [0, 1000])
+@pytest.mark.parametrize('lost', [1, 3])
+def test_restored_store_is_listed_again(bump, lost) -> None:
+    """Guards against changes of a restored store that a watch waits past.
+
+    The store accepts a watch from a revision that it does not have yet, and
+    gives out the revisions before it a second time.
+    """
+
+    async def scenario() -> None:
+        async with open_pair() as (platform, client):
+            older = platform.store.take_copy()
+            for _ in range(lost):
+                write(platform, KEY, b'lost')
+            following = client.list_and_watch()
+            await anext(following)
+            pending = asyncio.ensure_future(anext(following))
+            await wait_until(lambda: platform.faults.open_watches == 2)
+            await asyncio.sleep(SETTLE_S)
+            platform.store.restore(older, bump)
+            platform.change_faults(Change(drop_watches=True))
+            write(platform, KEY, b'new')
+            async with asyncio.timeout(2):
+                update = await pending
+            assert update.complete
+            assert [record.value for record in update.records] == [b'new']
+            await following.aclose()
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     'change',
     [{'outage': 'hang'}, {'outage': 'refuse'}, {'cut_ips': ['127.0.0.1']}],
