Fail a watch that has no history right after the list it follows

Cause: list_and_watch listed again after each lost history, at once and without limit, as the reads of the users' platform did. An etcd that compacts everything, or two clusters behind one address, would be listed in a loop by every watcher.

Change: a history that is lost within the minimum lifetime of a watch ends the watch; the node then starts the next one after its back-off.

Evidence: test_history_lost_after_each_list, which got a list in place of the error before.

--- a/apricottally/platformclient.py
+++ b/apricottally/platformclient.py
@@ -161,14 +161,20 @@
     async def list_and_watch(self) -> AsyncIterator[RecordUpdate]:
         """Yield all records, then changes; list again after compaction.
 
-        Raises `PlatformError` if the platform does not answer.
+        Raises `PlatformError` if the platform does not answer, or if it has no
+        history for a watch right after a list.
         """
+        clock = asyncio.get_running_loop().time
         while True:
             records, revision = await self.list_records()
             yield RecordUpdate(records, revision, complete=True)
-            with contextlib.suppress(CompactedError):
+            listed_at = clock()
+            try:
                 async for changed, seen in self.watch(revision):
                     yield RecordUpdate(changed, seen, complete=False)
+            except CompactedError:
+                if clock() - listed_at < self._limits.watch_min_lifetime_s:
+                    raise
 
     def _check_cluster(self, cluster_id: int) -> None:
         """Raise `PlatformError` if another store has answered since then.
--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -245,6 +245,35 @@
     run(scenario())
 
 
+def test_history_lost_after_each_list() -> None:
+    """Guards against lists that follow each other without a pause.
+
+    The store has no history for a watch from the revision of its own list.
+    """
+
+    class LostHistory:
+        def __init__(self, revision: int) -> None:
+            self.revision = revision
+
+        def __aiter__(self):
+            return self
+
+        async def __anext__(self):
+            raise CompactedError(str(self.revision))
+
+    async def scenario() -> None:
+        long_lifetime = ClientLimits(watch_min_lifetime_s=5)
+        async with open_pair(long_lifetime) as (platform, client):
+            client.watch = LostHistory
+            following = client.list_and_watch()
+            assert (await anext(following)).complete
+            with pytest.raises(CompactedError):
+                await anext(following)
+            assert platform.faults.calls['Range'] == 2
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     'change',
     [{'outage': 'hang'}, {'outage': 'refuse'}, {'cut_ips': ['127.0.0.1']}],
