Refuse an etcd that lost acknowledged changes and gives revisions out again

Cause: records, digests and repair are ordered by etcd's mod_revision alone. After a restoration without a raised revision, nodes would drop some of the new changes, each another set, and nodes that hold different values at one revision have equal digests and never notice.

Change: a watcher whose list is older than what its own watch has delivered, which a linearizable etcd never returns, applies nothing of it, stops its watch, logs platform_restored, counts it, and reads again with back-off. Nodes keep what they have.

An order of epochs as on the users' platform is not possible here: cluster ids have none. What a restored etcd without a raised revision loses before its revision has passed the old one stays open.

--- a/apricottally/dissemination.py
+++ b/apricottally/dissemination.py
@@ -66,6 +66,8 @@
     event: RecordsReceived,
 ) -> list[Effect]:
     """Apply records from the platform."""
+    if watcherrole.is_older_list(state, event):
+        return watcherrole.refuse_older_list(state, event)
     watcherrole.update_progress(state, event)
     records = _add_deletions(state, event)
     effects = merge_records(state, event.now, records)
--- a/apricottally/watcherrole.py
+++ b/apricottally/watcherrole.py
@@ -11,7 +11,13 @@
 from typing import TYPE_CHECKING
 
 from apricottally import shards
-from apricottally.effects import Effect, StartWatch, StopWatch, WriteLog
+from apricottally.effects import (
+    Effect,
+    LogValue,
+    StartWatch,
+    StopWatch,
+    WriteLog,
+)
 from apricottally.events import PlatformLost, RecordsReceived
 from apricottally.members import Member
 
@@ -65,6 +71,30 @@
     return [WriteLog('platform_lost', {'reason': event.reason})]
 
 
+def refuse_older_list(state: NodeState, event: RecordsReceived) -> list[Effect]:
+    """Stop a watch whose list is older than what it has already delivered.
+
+    The platform was restored from an older copy without a raised revision. It
+    gives out revisions again, which nodes cannot tell from those they know.
+    """
+    watch = state.protocols.watch
+    state.counters.add('platform_lost', 'older_revision')
+    schedule_retry(state, event.now)
+    fields: dict[str, LogValue] = {
+        'revision': event.revision,
+        'known_revision': watch.revision,
+    }
+    return [StopWatch(), WriteLog('platform_restored', fields)]
+
+
+def is_older_list(state: NodeState, event: RecordsReceived) -> bool:
+    """Tell whether a list precedes what this node's watch has delivered.
+
+    Lists are linearizable: that of a platform that has lost nothing does not.
+    """
+    return event.complete and event.revision < state.protocols.watch.revision
+
+
 def schedule_retry(state: NodeState, now: float) -> None:
     """Schedule a new list and watch, unless one is scheduled already."""
     watch = state.protocols.watch
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -470,3 +470,33 @@
     mesh.platform.down = False
     record = mesh.platform.write(FEED, build_template('x'))
     assert mesh.run_until(partial(is_in_force, mesh, record), 65) <= 65
+
+
+def receive_list(state: NodeState, now: float, revision: int, value) -> list:
+    records = (Record(FEED, min(revision, 12), value),)
+    return reduce(state, RecordsReceived(now, records, revision, complete=True))
+
+
+def test_restored_platform_is_refused() -> None:
+    """Guards against changes that get a revision which was used before.
+
+    A platform that was restored from an older copy without a raised revision
+    gives revisions out again; nodes would ignore such changes one by one, and
+    each another set of them. It is reported, and read again later.
+    """
+    state = build_state()
+    reduce(state, Ticked(0, 0))
+    receive_list(state, 1, 20, build_template('known'))
+    outputs = receive_list(state, 2, 15, build_template('copy'))
+    assert any(isinstance(one, StopWatch) for one in outputs)
+    assert state.counters.total('platform_lost', 'older_revision') == 1
+    assert not state.protocols.watch.list_received
+    started = [
+        one
+        for step in range(40)
+        for one in reduce(state, Ticked(2 + step / 10, 0))
+        if isinstance(one, StartWatch)
+    ]
+    assert len(started) == 1
+    receive_list(state, 9, 1020, build_template('known'))
+    assert state.protocols.watch.list_received
