Write backend numbers that a restored etcd has lost

What operators would see: after etcd was restored from a copy with a raised revision, as its documentation asks, a service whose numbers had changed in the lost seconds got no numbers any more: new backend servers stayed without traffic for good.

Cause: the write expects the version of the record that the node knows. After a restoration this is one that etcd does not have, so that every write is a conflict. Nothing else wrote the lost numbers either; had all nodes restarted, they would have gone to other backend servers, while open flows carry them.

Change: a watcher keeps the versions that the platform itself has shown for each service's numbers, expects these, and writes the numbers again if the platform's version is lower than its own.

Evidence: test_numbers_are_written_after_restoration and test_lost_numbers_are_written_again, both without end before (30 s of virtual time); no further write once the platform has them.

--- a/apricottally/dissemination.py
+++ b/apricottally/dissemination.py
@@ -69,6 +69,7 @@
     if watcherrole.is_older_list(state, event):
         return watcherrole.refuse_older_list(state, event)
     watcherrole.update_progress(state, event)
+    numbering.record_stored_versions(state, event)
     records = _add_deletions(state, event)
     effects = merge_records(state, event.now, records)
     if event.complete:
--- a/apricottally/numbering.py
+++ b/apricottally/numbering.py
@@ -14,7 +14,12 @@
 
 from apricottally import model, numberassignment, shards, watcherrole
 from apricottally.effects import Effect, SwapRecord, WriteLog
-from apricottally.events import Record, SwapCompleted, Ticked
+from apricottally.events import (
+    Record,
+    RecordsReceived,
+    SwapCompleted,
+    Ticked,
+)
 from apricottally.model import BackendSet, Document, Machine
 
 if TYPE_CHECKING:
@@ -60,6 +65,9 @@
     `write_times` maps each service to check to the earliest time at which
     this node may write, or None until that time is set. `full_until` maps
     each service without a free number to the time of the next attempt.
+    `stored_versions` are the versions of the numbers that the platform has,
+    by service. They are lower than those of the records here if the platform
+    was restored from an older copy.
     """
 
     machines: dict[str, dict[str, Machine]] | None = None
@@ -67,6 +75,22 @@
     write_times: dict[str, float | None] = field(default_factory=dict)
     swaps: dict[str, PendingSwap] = field(default_factory=dict)
     full_until: dict[str, float] = field(default_factory=dict)
+    stored_versions: dict[str, int] = field(default_factory=dict)
+
+
+def record_stored_versions(state: NodeState, event: RecordsReceived) -> None:
+    """Record which numbers the platform has; check those that it has lost."""
+    numbering = state.protocols.numbering
+    if event.complete:
+        numbering.stored_versions.clear()
+    for record in event.records:
+        if not record.key.startswith(model.BACKEND_PREFIX):
+            continue
+        service = record.key.removeprefix(model.BACKEND_PREFIX)
+        exists = record.value is not None
+        numbering.stored_versions[service] = record.version if exists else 0
+        if record.version < state.records.version_of(record.key):
+            numbering.write_times.setdefault(service, None)
 
 
 def handle_record(state: NodeState, record: Record) -> None:
@@ -224,24 +248,25 @@
     if numberassignment.count_unnumbered(planned, machines):
         state.counters.add('numbering', 'no_free_number')
         numbering.full_until[service] = event.now + FULL_SERVICE_RETRY_S
-    if planned is body:
+    is_stored = stored is None or (
+        numbering.stored_versions.get(service, 0) >= stored.version
+    )
+    if planned is body and is_stored:
         numbering.write_times.pop(service)
         return []
-    return _write(state, event.now, service, stored, document, planned)
+    return _write(state, event.now, service, document, planned)
 
 
 def _write(
     state: NodeState,
     now: float,
     service: str,
-    stored: Record | None,
     document: Document | None,
     planned: BackendSet,
 ) -> list[Effect]:
     numbering = state.protocols.numbering
     key = f'{model.BACKEND_PREFIX}{service}'
-    exists = stored is not None and stored.value is not None
-    version = stored.version if stored is not None and exists else 0
+    version = numbering.stored_versions.get(service, 0)
     recent = () if document is None else (document.op, *document.recent)
     op_id = f'{state.config.name}-{state.rng.getrandbits(64):016x}'
     value = model.encode_document(op_id, state.config.name, planned, recent)
--- a/standins/fakeplatform.py
+++ b/standins/fakeplatform.py
@@ -35,6 +35,14 @@
     next_index: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformCopy:
+    """A copy of the service's records."""
+
+    revision: int
+    records: dict[str, Record]
+
+
 @dataclass(slots=True)
 class FakePlatform:
     """Records by key, their history, and the watchers by name.
@@ -72,6 +80,21 @@
         for name in list(self.watchers):
             self._send_changes(name)
 
+    def restore(self, older: PlatformCopy, bump: int) -> None:
+        """Go back to a copy; `bump` is added to its revision.
+
+        Watchers lose their watch.
+        """
+        self.begin_outage()
+        self.down = False
+        self.revision = older.revision + bump
+        self.records = dict(older.records)
+        self.history.clear()
+
+    def take_copy(self) -> PlatformCopy:
+        """Return a copy of the records to restore them from."""
+        return PlatformCopy(self.revision, dict(self.records))
+
     def watch(self, name: str, watcher: Watcher) -> None:
         """Send a caller all records, and from then on each change."""
         self.calls += 2
--- a/tests/test_numbering.py
+++ b/tests/test_numbering.py
@@ -245,6 +245,45 @@
     assert len(writes) <= 8
 
 
+def test_numbers_are_written_after_restoration() -> None:
+    """Guards against backend servers that never get a number again.
+
+    The platform is restored from an older copy with a raised revision; the
+    nodes know newer numbers, at a version that it does not have. The numbers
+    that it lost must not be given to other backend servers.
+    """
+    mesh = build_numbered_mesh(1, 3, DatagramFaults())
+    older = mesh.platform.take_copy()
+    mesh.platform.write('/vms/vm9', encode_machine(9))
+    assert mesh.run_until(lambda: len(read_numbers(mesh)) == 4, 8) <= 8
+    mesh.run(2)
+    mesh.platform.restore(older, 1000)
+    for number in (4, 9):
+        mesh.platform.write(f'/vms/vm{number}', encode_machine(number))
+    assert mesh.run_until(lambda: len(read_numbers(mesh)) == 5, 30) <= 30
+    assert read_numbers(mesh)[3] == ('vm9', 'active')
+
+
+def test_lost_numbers_are_written_again() -> None:
+    """Guards against numbers that only the nodes know.
+
+    If all nodes restarted, these numbers would be given to other backends.
+    """
+    mesh = build_numbered_mesh(1, 3, DatagramFaults())
+    older = mesh.platform.take_copy()
+    mesh.platform.write('/vms/vm9', encode_machine(9))
+    older.records['/vms/vm9'] = mesh.platform.records['/vms/vm9']
+    assert mesh.run_until(lambda: len(read_numbers(mesh)) == 4, 8) <= 8
+    mesh.run(2)
+    mesh.platform.restore(older, 1000)
+    assert len(read_numbers(mesh)) == 3
+    assert mesh.run_until(lambda: len(read_numbers(mesh)) == 4, 30) <= 30
+    mesh.run(20)
+    before = count_swaps(mesh, 'sent')
+    mesh.run(60)
+    assert count_swaps(mesh, 'sent') == before
+
+
 def get_author(mesh: Mesh) -> str:
     """Return the name of the node that wrote the numbers last."""
     value = mesh.platform.records[KEY].value
