--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -25,11 +25,17 @@
     parser.add_argument('--runs', type=parse_count, default=1)
     parser.add_argument('--seconds', type=parse_count, default=20)
     parser.add_argument('--nodes', type=parse_count, default=4)
+    parser.add_argument(
+        '--fault',
+        action='append',
+        choices=[fault.__name__ for fault in FAULTS],
+        help='inject only these faults',
+    )
     options = parser.parse_args()
     failed = []
     for seed in range(options.seed, options.seed + options.runs):
         results, fault_names = asyncio.run(
-            run_seed(seed, options.seconds, options.nodes)
+            run_seed(seed, options.seconds, options.nodes, options.fault)
         )
         print(
             f'seed {seed}: {dict(results.outcomes)}; {", ".join(fault_names)}'
@@ -42,9 +48,15 @@
 
 
 async def run_seed(
-    seed: int, seconds: int, nodes: int
+    seed: int, seconds: int, nodes: int, names: list[str] | None = None
 ) -> tuple[RunResults, list[str]]:
-    """Run one seed; return the results and the names of the faults."""
+    """Run one seed; return the results and the names of the faults.
+
+    `names` are the faults to choose from, None for all.
+    """
+    faults = [
+        fault for fault in FAULTS if names is None or fault.__name__ in names
+    ]
     async with open_fake_store() as store:
         with tempfile.TemporaryDirectory() as folder:
             deployment = Deployment(seed, nodes, Path(folder), store)
@@ -53,7 +65,7 @@
                 signal.SIGTERM, task.cancel
             )
             try:
-                fault_names = await run_scenario(deployment, seconds)
+                fault_names = await run_scenario(deployment, seconds, faults)
             finally:
                 deployment.kill()
             if deployment.results.violations:
@@ -61,7 +73,9 @@
     return deployment.results, fault_names
 
 
-async def run_scenario(deployment: Deployment, seconds: int) -> list[str]:
+async def run_scenario(
+    deployment: Deployment, seconds: int, faults: list
+) -> list[str]:
     await deployment.open()
     polling = [
         asyncio.create_task(deployment.poll_readiness()),
@@ -73,7 +87,7 @@
         for client in deployment.clients
         for _ in range(4)
     ]
-    fault_names = await inject_faults(deployment, seconds)
+    fault_names = await inject_faults(deployment, seconds, faults)
     await asyncio.sleep(RECOVERY_S + 2)
     await deployment.check_recovered()
     await check_requests_served(deployment)
@@ -101,13 +115,15 @@
     return fault_names
 
 
-async def inject_faults(deployment: Deployment, seconds: int) -> list[str]:
+async def inject_faults(
+    deployment: Deployment, seconds: int, faults: list
+) -> list[str]:
     """Start random faults, which may overlap; return their names."""
     fault_names = []
     running = set()
     ends_at = deployment.loop.time() + seconds
     while deployment.loop.time() < ends_at:
-        fault = deployment.rng.choice(FAULTS)
+        fault = deployment.rng.choice(faults)
         fault_names.append(fault.__name__)
         running.add(asyncio.create_task(run_fault(deployment, fault)))
         await asyncio.sleep(deployment.rng.uniform(0.2, 2.5))
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -23,6 +23,14 @@
     assert results.outcomes['ok'] > 10
 
 
+@pytest.mark.parametrize('seed', [731, 732])
+def test_short_soak_of_restored_store(seed) -> None:
+    """Processes must keep up with a store that comes back from a copy."""
+    results, _ = run(run_seed(seed, 3, 3, ['restore_store', 'kill']))
+    assert not results.violations
+    assert results.outcomes['ok'] > 10
+
+
 def test_two_soaks_on_one_machine() -> None:
     """Concurrent runs with the same seed must not use the same ports."""
 
