Relay changes only up to the revision that they reach

What callers would see: a node that keeps sending to a backend that drains or has left, or lacks a new one, until its own next complete list, which only the few nodes that read the platform make.

Cause: a delta claimed to reach up to the sender's revision. If the sender had pulled newer records from a neighbour while its own read was in progress, the delta had the changes of that read and the later revision; its receivers applied the part and took the rest for known.

Change: a delta carries the revision of the read or delta that it comes from. Nothing is relayed if the node knows later changes.

--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -60,8 +60,10 @@
     if known_revision == NO_REVISION or not (applied or missing):
         return effects
     removed = [BackendChange(name, event.revision, None) for name in missing]
-    changes = (*applied, *removed)
-    return effects + _announce(state, known_revision, changes, event.now)
+    delta = _build_delta(
+        state, known_revision, event.revision, (*applied, *removed), event.now
+    )
+    return effects + _announce(state, delta, event.now)
 
 
 def apply_watched_changes(
@@ -81,7 +83,10 @@
     _advance_revision(state, event.revision, confirmed_at, event.now)
     if not event.changes:
         return effects
-    return effects + _announce(state, event.after, event.changes, event.now)
+    delta = _build_delta(
+        state, event.after, event.revision, event.changes, event.now
+    )
+    return effects + _announce(state, delta, event.now)
 
 
 def apply_held_records(state: NodeState, now: float) -> list[Effect]:
@@ -117,7 +122,10 @@
     effects, _ = _apply(state, delta.changes, now)
     _advance_revision(state, delta.revision, confirmed_at, now)
     near = state.gossip_targets.list_near(now)
-    return effects + _relay(state, near, delta.after, delta.changes, now)
+    relayed = _build_delta(
+        state, delta.after, delta.revision, delta.changes, now
+    )
+    return effects + _relay(state, near, relayed)
 
 
 def compare_records(
@@ -300,44 +308,43 @@
     state.behind_since = None
 
 
-def _announce(
+def _build_delta(
     state: NodeState,
     after: Revision,
+    revision: Revision,
     changes: tuple[Change, ...],
     now: float,
-) -> list[Effect]:
+) -> Delta:
+    """Return the message with the changes after `after` up to `revision`."""
+    age_ms = state.freshness.age_ms(now)
+    return Delta(state.config.name, after, revision, age_ms, changes)
+
+
+def _announce(state: NodeState, delta: Delta, now: float) -> list[Effect]:
     """Send changes from the platform to the nodes near and to all partners."""
     receivers = state.gossip_targets.list_near(now)
     receivers = receivers + state.gossip_targets.list_partners(now)
-    return _relay(state, receivers, after, changes, now)
+    return _relay(state, receivers, delta)
 
 
 def _relay(
-    state: NodeState,
-    receivers: list[Neighbour],
-    after: Revision,
-    changes: tuple[Change, ...],
-    now: float,
+    state: NodeState, receivers: list[Neighbour], delta: Delta
 ) -> list[Effect]:
     """Send changes to those receivers that have an older revision.
 
     If they do not fit into a datagram, a heartbeat is sent instead, and the
-    receivers then pull a snapshot.
+    receivers then pull a snapshot. Nothing is sent if this node knows later
+    changes: it has them from a node that sends them itself.
     """
+    if delta.revision < state.catalog.revision:
+        return []
     targets = [
         neighbour.endpoint
         for neighbour in receivers
-        if neighbour.revision < state.catalog.revision
+        if neighbour.revision < delta.revision
     ]
     if not targets:
         return []
-    delta = Delta(
-        state.config.name,
-        after,
-        state.catalog.revision,
-        state.freshness.age_ms(now),
-        tuple(changes),
-    )
     payload = messages.encode(delta)
     if len(payload) > messages.MAX_DATAGRAM_BYTES:
         state.heartbeat_due = True
--- a/tests/test_tagged_records.py
+++ b/tests/test_tagged_records.py
@@ -7,7 +7,9 @@
 from apricottally.tagged.messages import (
     Delta,
     Peer,
+    Snapshot,
     SnapshotRequest,
+    decode,
     encode,
 )
 from apricottally.tagged.records import BackendChange, ConfigurationChange
@@ -196,6 +198,34 @@
     assert [effect.dests for effect in sent] == [(('10.1.0.3', 7720),)]
 
 
+@pytest.mark.parametrize('read', ['watch', 'list'])
+def test_delta_claims_only_its_changes(read) -> None:
+    """Guards against receivers that skip changes for good.
+
+    A node has pulled newer records while its own read was in progress. The
+    changes of that read do not reach up to the revision that the node now has.
+    """
+    node = TaggedNode(1)
+    other_peer = Peer('n3', 'a', '10.1.0.3', 7720, 7)
+    receive_heartbeat(node, build_heartbeat(1, sender=other_peer))
+    newer = BackendChange('i-00000003', rev(30), build_backend(3))
+    snapshot = Snapshot(rev(30), 0, False, (newer,))
+    node.submit(events.SnapshotPulled(node.now, node.now, 'n2', snapshot))
+    change = BackendChange('i-00000002', rev(12), build_backend(2))
+    if read == 'watch':
+        event = events.RecordsChanged(
+            node.now, node.now, rev(10), rev(12), (change,)
+        )
+    else:
+        event = events.RecordsListed(node.now, node.now, rev(12), (change,))
+    node.submit(event)
+    deltas = [
+        decode(effect.payload)
+        for effect in node.select_effects(effects.SendPeer)
+    ]
+    assert all(delta.revision == rev(12) for delta in deltas)
+
+
 def test_gap_is_pulled() -> None:
     """Guards against permanent loss of a change whose datagram was lost."""
     node = TaggedNode(1)
