--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -44,6 +44,7 @@
         '_held',
         'configuration',
         'configuration_revision',
+        'epoch_start',
         'purged_revision',
         'revision',
         'routes',
@@ -55,6 +56,9 @@
         self.revision = NO_REVISION
         # Highest revision among the purged entries of removed backends.
         self.purged_revision = NO_REVISION
+        # Revision of the first complete records of the epoch. Removals before
+        # it are unknown here.
+        self.epoch_start = NO_REVISION
         self.configuration: Configuration | None = None
         self.configuration_revision = NO_REVISION
         self.routes: dict[tuple[int, int], Route] = {}
@@ -73,6 +77,12 @@
             return self._apply_configuration(change)
         return self._apply_backend(change, now, grace_s)
 
+    def lacks_removals(self, after: Revision) -> bool:
+        """Tell whether removals after a revision may be unknown here."""
+        if after.epoch != self.revision.epoch:
+            return True
+        return after < self.epoch_start or after < self.purged_revision
+
     def remove_missing(
         self,
         names: Iterable[str],
--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -188,16 +188,11 @@
 ) -> Snapshot:
     """Return the records newer than those of a neighbour.
 
-    The snapshot is complete if the neighbour has no records, has those of
-    another epoch, or is so far behind that removals it has not seen were
-    purged here.
+    The snapshot is complete if removals that the neighbour has not seen may be
+    unknown here.
     """
     after = request.after
-    complete = (
-        after == NO_REVISION
-        or _is_other_epoch(state, after)
-        or after < state.catalog.purged_revision
-    )
+    complete = state.catalog.lacks_removals(after)
     return Snapshot(
         state.catalog.revision,
         state.freshness.age_ms(now),
@@ -269,8 +264,12 @@
     until the backends write them again.
     """
     known_revision = state.catalog.revision
-    if known_revision == NO_REVISION or revision.epoch <= known_revision.epoch:
+    if known_revision == NO_REVISION:
+        state.catalog.epoch_start = revision
+        return []
+    if revision.epoch <= known_revision.epoch:
         return []
+    state.catalog.epoch_start = revision
     state.freshness.record_outage(now)
     state.counters.add('platform_restored', 'epoch')
     return [recordlogs.describe_restoration(state, revision)]
--- a/tests/test_tagged_records.py
+++ b/tests/test_tagged_records.py
@@ -299,6 +299,23 @@
     assert len(node.state.catalog.list_candidates('core')) == 3
 
 
+def test_pull_from_a_new_node_removes_backends() -> None:
+    """Guards against a backend that has left and stays in use.
+
+    The node missed its removal, which its neighbour does not know of either:
+    that one has started after it.
+    """
+    node = TaggedNode(2)
+    source = TaggedNode(0, name='n2')
+    source.load_records(30, [build_backend(1)])
+    snapshot = build_snapshot(
+        source.state, build_request(node.state), source.now
+    )
+    node.submit(events.SnapshotPulled(node.now, node.now, 'n2', snapshot))
+    found = node.state.catalog.list_candidates('core')
+    assert [entry.backend.name for entry in found] == ['i-00000001']
+
+
 def test_failed_pull_is_tried_again() -> None:
     """Guards against a node that stays behind after one lost answer."""
     node = TaggedNode(1)
