Judge a restored platform's records by when this node entered the epoch

What callers would see: a backend that has left gets new flows again some seconds after a restoration; a backend that drains counts as ready.

Change: nothing is held back. Records up to the revision of the first complete records of the epoch may come from the copy and are ignored if they precede what is known; every later one was written by its backend after the restoration and counts, whatever its own order says. A list in a new epoch removes all that it lacks, and its difference has all newer records. This is shorter, and no timer decides.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -14,7 +14,6 @@
 from typing import TypeAlias
 
 from apricottally.tagged.catalogentry import Entry
-from apricottally.tagged.heldrecords import HeldRecords
 from apricottally.tagged.records import (
     Backend,
     BackendChange,
@@ -41,7 +40,6 @@
         '_by_name',
         '_by_service',
         '_by_tag',
-        '_held',
         'configuration',
         'configuration_revision',
         'epoch_start',
@@ -64,7 +62,6 @@
         self.routes: dict[tuple[int, int], Route] = {}
         self._by_name: dict[str, Entry] = {}
         self._by_tag: dict[int, Entry] = {}
-        self._held = HeldRecords()
         self._by_service: _ServiceIndex | None = None
 
     def apply(self, change: Change, now: float, grace_s: float) -> bool:
@@ -92,34 +89,23 @@
     ) -> list[str]:
         """Remove backends missing from a complete list; return their names.
 
+        Among them are those whose removal is known from an earlier epoch only.
         `names` are the backends in the list, `revision` is that of the list.
         """
         present = set(names)
         missing = [
             name
             for name, entry in self._by_name.items()
-            if entry.is_registered()
-            and name not in present
+            if name not in present
             and entry.revision <= revision
+            and (entry.is_registered() or entry.revision.epoch < revision.epoch)
         ]
-        self._held.drop_missing(present)
         for name in missing:
             self._apply_backend(
                 BackendChange(name, revision, None), now, grace_s
             )
         return missing
 
-    def apply_held(self, now: float) -> list[BackendChange]:
-        """Apply the records that were held back for long enough; return them.
-
-        These are records of a restored platform that the backends have not
-        replaced.
-        """
-        due = self._held.take_due(now)
-        for change in due:
-            self._store_backend(self._by_name[change.name], change, now, 0)
-        return due
-
     def find_by_name(self, name: str) -> Entry | None:
         """Return the entry of the backend with a name."""
         return self._by_name.get(name)
@@ -157,7 +143,6 @@
             and now - entry.removed_at > REMOVED_RETENTION_S
         ]
         for name in expired:
-            self._held.drop(name)
             entry = self._by_name.pop(name)
             self.purged_revision = max(self.purged_revision, entry.revision)
             if entry.backend and self._by_tag.get(entry.backend.tag) is entry:
@@ -186,11 +171,6 @@
             for name, entry in self._by_name.items()
             if entry.revision > after
         ]
-        changes += [
-            change
-            for change in self._held.list_changes(after)
-            if self._by_name[change.name].is_registered()
-        ]
         if self.configuration and self.configuration.version > version:
             changes.append(
                 ConfigurationChange(
@@ -230,12 +210,11 @@
             self._by_name[change.name] = entry
         if change.revision <= entry.revision:
             return False
-        if change.revision.epoch > entry.revision.epoch:
+        if _is_from_copy(entry, change, self.epoch_start):
             if entry.is_repeated_by(change):
                 entry.revision = change.revision
                 return False
             if entry.outdates(change):
-                self._held.hold(change, now)
                 return False
         self._store_backend(entry, change, now, grace_s)
         return True
@@ -247,7 +226,6 @@
         now: float,
         grace_s: float,
     ) -> None:
-        self._held.drop(change.name)
         entry.revision = change.revision
         entry.readable = change.readable
         self._by_service = None
@@ -293,6 +271,18 @@
         return {key: tuple(found) for key, found in index.items()}
 
 
+def _is_from_copy(
+    entry: Entry, change: BackendChange, epoch_start: Revision
+) -> bool:
+    """Tell whether a restored platform may have a record from its copy.
+
+    What was written after this node has entered the epoch is newer than all
+    that it knows.
+    """
+    is_other_epoch = change.revision.epoch > entry.revision.epoch
+    return is_other_epoch and change.revision <= epoch_start
+
+
 def _end_grace_of_reused(entries: Iterable[Entry], entry: Entry) -> None:
     """End the grace period of removed backends whose address is reused."""
     reusing = entry.backend
--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -59,9 +59,18 @@
         return effects
     if known_revision == NO_REVISION or not (applied or missing):
         return effects
+    # The receivers need all newer records, also those that repeat what this
+    # node knew of an earlier epoch; the others are repairs.
+    newer = [
+        change for change in event.changes if change.revision > known_revision
+    ]
+    repairs = [
+        change for change in applied if change.revision <= known_revision
+    ]
     removed = [BackendChange(name, event.revision, None) for name in missing]
+    changes = (*repairs, *newer, *removed)
     delta = _build_delta(
-        state, known_revision, event.revision, (*applied, *removed), event.now
+        state, known_revision, event.revision, changes, event.now
     )
     return effects + _announce(state, delta, event.now)
 
@@ -89,14 +98,6 @@
     return effects + _announce(state, delta, event.now)
 
 
-def apply_held_records(state: NodeState, now: float) -> list[Effect]:
-    """Apply records of a restored platform that no backend has replaced."""
-    return [
-        recordlogs.describe_change(state, change, now)
-        for change in state.catalog.apply_held(now)
-    ]
-
-
 def receive_delta(state: NodeState, delta: Delta, now: float) -> list[Effect]:
     """Apply changes from another node and relay them if they are new.
 
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -62,7 +62,6 @@
     if now - state.purged_at >= PURGE_PERIOD_S:
         state.purged_at = now
         _purge(state, now)
-        effects += dissemination.apply_held_records(state, now)
     if state.freshness.detect_outage(now):
         fields = {'age_ms': state.freshness.age_ms(now)}
         effects.append(WriteLog('records_stale', fields))
--- a/tests/taggedfleet.py
+++ b/tests/taggedfleet.py
@@ -57,6 +57,17 @@
             name: _move(change, epoch) for name, change in older.current.items()
         }
 
+    def write_again(self, newest: 'FakePlatform') -> None:
+        """Write the records that differ from those before the restoration."""
+        names = self.current.keys() | newest.current.keys()
+        for name in sorted(names):
+            change = newest.current.get(name)
+            if change is None:
+                change = BackendChange(name, self._next(), None)
+            if not _is_same(change, self.current.get(name)):
+                at = self._next()
+                self.put(name, msgspec.structs.replace(change, revision=at))
+
     def put(self, name, change) -> None:
         self.history.append(change)
         self.current[name] = change
@@ -99,6 +110,14 @@
         )
 
 
+def _is_same(change, other) -> bool:
+    """Tell whether two changes leave the same record behind."""
+    if other is None:
+        return getattr(change, 'backend', change) is None
+    at = change.revision
+    return change == msgspec.structs.replace(other, revision=at)
+
+
 def _move(change, epoch: int):
     """Return a change as the platform shows it in another epoch."""
     number = change.revision.number
