Check that a restoration does not make a large fleet read at once

60 and 195 nodes, platform away for 0, 1 and 3 s, a change written right after the restoration: in force on all nodes within 3 s, at most one call a node. It holds on the code as it is; the test keeps it so.

--- a/tests/test_tagged_restored.py
+++ b/tests/test_tagged_restored.py
@@ -399,3 +399,23 @@
         fleet.run(BOUND_S)
         check_in_force(fleet, version)
         check_backends(fleet)
+
+
+@pytest.mark.parametrize('away_s', [0, 1, 3])
+@pytest.mark.parametrize(('nodes', 'zones'), [(60, 'abcde'), (195, 'abcde')])
+def test_restoration_reaches_a_large_fleet(nodes, zones, away_s) -> None:
+    """Guards against a restoration that makes every node read at once.
+
+    All nodes learn of it from each other; a change that is written right after
+    it comes into force in time.
+    """
+    fleet = build_fleet(3, nodes, zones)
+    older = fleet.copy_platform()
+    fleet.platform.put_configuration(2)
+    fleet.run(0.5)
+    fleet.restore_platform(older, away_s)
+    before = fleet.platform.calls
+    fleet.platform.put_configuration(3)
+    fleet.run(BOUND_S)
+    check_in_force(fleet, 3)
+    assert fleet.platform.calls - before <= nodes
