--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from tests.conftest import list_failing
+
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -71,3 +73,20 @@
     before = signal.getsignal(number)
     yield
     signal.signal(number, before)
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        ('', ()),
+        ('tests/a.py::b\n  seen     once\n  issue    17\n', ()),
+        ('tests/a.py::b\n  ci       must fail\n', ('tests/a.py::b',)),
+        (
+            'soak\n  seen  x\n\ntests/a.py::c[1\n  ci must fail',
+            ('tests/a.py::c[1',),
+        ),
+    ],
+)
+def test_known_failures(text, expected) -> None:
+    """Guards against a test that CI passes over although it is not listed."""
+    assert list_failing(text) == expected
