Leave deleted backend numbers deleted

Only a record with a value can be lost.

Found on reading the diff. test_deleted_numbers_stay_deleted failed before.

--- a/apricottally/numbering.py
+++ b/apricottally/numbering.py
@@ -248,15 +248,21 @@
     if numberassignment.count_unnumbered(planned, machines):
         state.counters.add('numbering', 'no_free_number')
         numbering.full_until[service] = event.now + FULL_SERVICE_RETRY_S
-    is_stored = stored is None or (
-        numbering.stored_versions.get(service, 0) >= stored.version
-    )
-    if planned is body and is_stored:
+    if planned is body and not _is_lost(numbering, service, stored):
         numbering.write_times.pop(service)
         return []
     return _write(state, event.now, service, document, planned)
 
 
+def _is_lost(
+    numbering: NumberingState, service: str, stored: Record | None
+) -> bool:
+    """Tell whether the platform has lost the numbers that are known here."""
+    if stored is None or stored.value is None:
+        return False
+    return numbering.stored_versions.get(service, 0) < stored.version
+
+
 def _write(
     state: NodeState,
     now: float,
--- a/tests/test_numbering.py
+++ b/tests/test_numbering.py
@@ -284,6 +284,21 @@
     assert count_swaps(mesh, 'sent') == before
 
 
+def test_deleted_numbers_stay_deleted() -> None:
+    """Guards against numbers that are written again after an operator's delete.
+
+    Only those that a restored platform has lost are.
+    """
+    mesh = build_numbered_mesh(1, 1, DatagramFaults())
+    mesh.platform.write('/vms/vm0', None)
+    mesh.run(30)
+    before = count_swaps(mesh, 'sent')
+    mesh.platform.write(KEY, None)
+    mesh.run(30)
+    assert KEY not in mesh.platform.records
+    assert count_swaps(mesh, 'sent') == before
+
+
 def get_author(mesh: Mesh) -> str:
     """Return the name of the node that wrote the numbers last."""
     value = mesh.platform.records[KEY].value
