Take a refused probe as no proof that a backend is dead

Cause: a probe whose TCP connections were reset within milliseconds counted like one without an answer, so that 0.12 s of silence and two quick refusals reset open flows. A live backend at its limit of connections refuses new ones. Change: ProbeEnded says whether a connection was refused. Flows are reset after a refusal only if the backend has answered no client of this node for 1 s; before that, new flows avoid it and the probe is repeated.

--- a/apricottally/tagged/events.py
+++ b/apricottally/tagged/events.py
@@ -92,7 +92,8 @@
     """A probe of a backend ended; `reached` is set if it connected.
 
     The probe is `conclusive` if the backend was reached or if the reference
-    backend answered in time.
+    backend answered in time. A connection was `refused` if a reset arrived in
+    place of the answer.
     """
 
     now: float
@@ -100,6 +101,7 @@
     tag: int
     reached: bool
     conclusive: bool = True
+    refused: bool = False
 
 
 class ShutdownRequested(msgspec.Struct, frozen=True):
--- a/apricottally/tagged/networkcalls.py
+++ b/apricottally/tagged/networkcalls.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
@@ -162,45 +163,66 @@
     async def _probe(self, effect: effects.ProbeBackend) -> None:
         requested_at = self._loop.time()
         backend = effect.backend
-        reached, conclusive = await self._probe_once(effect)
-        if conclusive and not reached:
-            reached, conclusive = await self._probe_once(effect)
+        probe = await _probe_once(effect)
+        if probe.conclusive and not probe.reached:
+            probe = await _probe_once(effect)
         self._submit(
             events.ProbeEnded(
                 self._loop.time(),
                 requested_at,
                 backend.tag,
-                reached,
-                conclusive,
+                probe.reached,
+                probe.conclusive,
+                probe.refused,
             ),
         )
 
-    async def _probe_once(
-        self,
-        effect: effects.ProbeBackend,
-    ) -> tuple[bool, bool]:
-        """Return whether the backend was reached and the result is conclusive.
-
-        A failure is conclusive only if the reference backend was reached.
-        """
-        connected = await asyncio.gather(
-            _connect(effect.backend, PROBE_TIMEOUT_S),
-            _connect(effect.backend, PROBE_TIMEOUT_S),
-            _connect(effect.reference, REFERENCE_TIMEOUT_S),
-        )
-        reached = connected[0] or connected[1]
-        return reached, reached or connected[2]
-
     def _submit_failure(self, reason: str, *, compacted: bool = False) -> None:
         self._submit(events.ReadFailed(self._loop.time(), reason, compacted))
 
 
-async def _connect(backend: Backend, timeout_s: float) -> bool:
-    """Tell whether a backend accepts a TCP connection within `timeout_s`."""
+class _Connect(enum.Enum):
+    """Result of an attempt to open a TCP connection."""
+
+    accepted = enum.auto()
+    refused = enum.auto()
+    silent = enum.auto()
+
+
+class _Probe(msgspec.Struct, frozen=True):
+    """Result of one round of a probe, as in `ProbeEnded`."""
+
+    reached: bool
+    conclusive: bool
+    refused: bool
+
+
+async def _probe_once(effect: effects.ProbeBackend) -> _Probe:
+    """Connect twice to a backend and once to its reference.
+
+    A failure is conclusive only if the reference backend was reached.
+    """
+    *attempts, reference = await asyncio.gather(
+        _connect(effect.backend, PROBE_TIMEOUT_S),
+        _connect(effect.backend, PROBE_TIMEOUT_S),
+        _connect(effect.reference, REFERENCE_TIMEOUT_S),
+    )
+    reached = _Connect.accepted in attempts
+    return _Probe(
+        reached,
+        conclusive=reached or reference is _Connect.accepted,
+        refused=not reached and _Connect.refused in attempts,
+    )
+
+
+async def _connect(backend: Backend, timeout_s: float) -> _Connect:
+    """Open and close a TCP connection to a backend within `timeout_s`."""
     try:
         async with asyncio.timeout(timeout_s):
             _, writer = await asyncio.open_connection(backend.ip, backend.port)
+    except ConnectionError:
+        return _Connect.refused
     except OSError:
-        return False
+        return _Connect.silent
     writer.close()
-    return True
+    return _Connect.accepted
--- a/apricottally/tagged/probing.py
+++ b/apricottally/tagged/probing.py
@@ -21,13 +21,20 @@
 
 
 def probe_stalled(state: NodeState, now: float) -> list[Effect]:
-    """Probe backends with requests that have been pending for too long."""
+    """Probe backends with requests that have been pending for too long.
+
+    Also repeats the probes of backends that refused a connection.
+    """
     effects: list[Effect] = []
     pending_requests = state.flows.pending_requests
     while pending_requests and now - pending_requests[0][0] >= PROBE_AFTER_S:
         began_at, flow = pending_requests.popleft()
         if flow.busy and flow.request_seen_at == began_at:
             effects += request_probe(state, flow.tag, began_at, now)
+    due_probes = state.suspicion.due_probes
+    while due_probes and due_probes[0].due_at <= now:
+        due = due_probes.popleft()
+        effects += request_probe(state, due.tag, due.since, now)
     return effects
 
 
@@ -47,6 +54,11 @@
     if not event.conclusive:
         state.counters.add('probe', 'inconclusive')
         return []
+    if event.refused and state.suspicion.record_refusal(
+        tag, event.requested_at, now
+    ):
+        state.counters.add('probe', 'refused')
+        return []
     if not state.suspicion.record_failed_probe(tag, event.requested_at, now):
         return []
     fields: dict[str, LogValue] = {
--- a/apricottally/tagged/suspicion.py
+++ b/apricottally/tagged/suspicion.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -26,6 +26,10 @@
 MIN_PROBE_INTERVAL_S = 0.5
 # In a suspect zone, backends that have not answered for this long are suspect.
 MAX_RESPONSE_AGE_S = 0.25
+# A backend that refuses connections may be alive and at its limit of
+# connections. It is dead if it has also answered no client for this long, which
+# exceeds the wait in a full queue of a slow backend.
+REFUSAL_SILENCE_S = 1.0
 # Misses older than this are dropped.
 MISS_LIFETIME_S = 4.0
 # Minimum number and share of suspect backends that make a whole zone suspect.
@@ -50,6 +54,15 @@
     misses: dict[bytes, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class DueProbe:
+    """A probe to repeat at `due_at`, of a backend silent since `since`."""
+
+    due_at: float
+    tag: int
+    since: float
+
+
 @dataclass(slots=True)
 class Suspicion:
     """Observations of all backends by tag, and the zones that are suspect.
@@ -63,6 +76,8 @@
     suspects: dict[int, BackendHealth] = field(default_factory=dict)
     reported_until: dict[int, float] = field(default_factory=dict)
     suspect_zones: frozenset[str] = frozenset()
+    # Probes to repeat because a connection was refused, the earliest first.
+    due_probes: deque[DueProbe] = field(default_factory=deque)
 
     def record_response(self, tag: int, now: float) -> None:
         """Record that the backend has answered; drop misses and reports."""
@@ -127,6 +142,23 @@
         )
         return True
 
+    def record_refusal(self, tag: int, since: float, now: float) -> bool:
+        """Record a refused connection; tell whether the backend may be alive.
+
+        If so, new flows avoid it for a while and it is probed again. `since`
+        is when the request that led to the probe was sent.
+        """
+        health = self._get_or_create(tag)
+        if now - health.last_response_at >= REFUSAL_SILENCE_S:
+            return False
+        self.suspects[tag] = health
+        health.suspect_until = max(
+            health.suspect_until, now + SUSPICION_DURATIONS_S[0]
+        )
+        due_at = now + MIN_PROBE_INTERVAL_S
+        self.due_probes.append(DueProbe(due_at, tag, since))
+        return True
+
     def record_neighbour_report(self, tags: Iterable[int], now: float) -> None:
         """Record the backends that a neighbour reports as unreachable."""
         for tag in tags:
--- a/tests/test_tagged_process.py
+++ b/tests/test_tagged_process.py
@@ -342,17 +342,17 @@
 @pytest.mark.parametrize(
     ('alive', 'reference', 'expected'),
     [
-        (True, True, (True, True)),
-        (True, False, (True, True)),
-        (False, True, (False, True)),
-        (False, False, (False, False)),
+        (True, True, (True, True, False)),
+        (True, False, (True, True, False)),
+        (False, True, (False, True, True)),
+        (False, False, (False, False, True)),
     ],
 )
 def test_probe_of_backend(alive, reference, expected) -> None:
     """Guards against a conclusive failure when nothing can be reached.
 
     If the reference backend does not answer either, the fault may be on this
-    node's side.
+    node's side. A refused connection must be told apart from silence.
     """
 
     async def scenario() -> None:
@@ -373,7 +373,8 @@
         )
         calls.probe_backend(ProbeBackend(probed, other))
         await wait_until(lambda: found)
-        assert (found[0].reached, found[0].conclusive) == expected
+        probe = found[0]
+        assert (probe.reached, probe.conclusive, probe.refused) == expected
         for server in servers:
             server.close()
 
--- a/tests/test_tagged_steering.py
+++ b/tests/test_tagged_steering.py
@@ -413,6 +413,51 @@
         assert node.list_forwarded()
 
 
+@pytest.mark.parametrize(
+    ('silent_s', 'refused', 'resets'),
+    [(0.2, True, 0), (0.2, False, 1), (1.3, True, 1), (1.3, False, 1)],
+)
+def test_refused_probe_ends_no_open_flow(silent_s, refused, resets) -> None:
+    """A live backend that refuses connections must keep its open flows.
+
+    A backend at its limit of connections resets new ones, while it answers
+    the flows that it has. Only one that has been silent for long is dead.
+    """
+    node = TaggedNode(2)
+    node.state.suspicion.record_response(2, node.now)
+    tag = node.open_flow(1)
+    answered_at = node.now
+    node.send_request(1, tag)
+    node.run(0.2)
+    node.now = answered_at + silent_s
+    node.submit(
+        events.ProbeEnded(
+            node.now, node.now - 0.1, tag, reached=False, refused=refused
+        )
+    )
+    assert len(node.select_effects(effects.Reset)) == resets
+    assert node.state.suspicion.is_suspect(tag, 'a', node.now)
+
+
+def test_refused_probe_is_repeated() -> None:
+    """A backend that stops while it refuses probes must be found out.
+
+    Its first refusal is no proof, so that another probe has to follow.
+    """
+    node = TaggedNode(2)
+    node.state.suspicion.record_response(2, node.now)
+    tag = node.open_flow(1)
+    node.send_request(1, tag)
+    node.run(0.2)
+    node.submit(
+        events.ProbeEnded(
+            node.now, node.now - 0.1, tag, reached=False, refused=True
+        )
+    )
+    probes = node.select_effects(effects.ProbeBackend, node.run(0.7))
+    assert [probe.backend.tag for probe in probes] == [tag]
+
+
 def test_slow_node_ends_no_flow() -> None:
     """A node whose own link or processor is overloaded must reset no flows.
 
