Evacuate availability zones by a key of the platform

The operator could not take a zone out of use without changing every backend's registration. The key op/evacuate/ZONE now does so: nodes keep the evacuations in a table of their own, relay them like registrations, and leave backends of evacuated zones out of every selection. Routes may also restrict new flows to regions, with the zone's region from the settings file.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -11,15 +11,19 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import TypeAlias
 
 from apricottally.tagged.catalogentry import Entry
+from apricottally.tagged.places.candidates import (
+    Candidates,
+    build_candidates,
+)
+from apricottally.tagged.places.evacuations import Evacuations
 from apricottally.tagged.records import (
-    Backend,
     BackendChange,
     Change,
     Configuration,
     ConfigurationChange,
+    EvacuationChange,
     Route,
 )
 from apricottally.tagged.revisions import NO_REVISION, Revision
@@ -28,21 +32,17 @@
 REMOVED_RETENTION_S = 120.0
 
 
-# A service name and a zone; None stands for all zones.
-_ServiceKey: TypeAlias = tuple[str, str | None]
-_ServiceIndex: TypeAlias = dict[_ServiceKey, tuple[Entry, ...]]
-
-
 class Catalog:
     """All records of a node, indexed for the packet path."""
 
     __slots__ = (
         '_by_name',
-        '_by_service',
         '_by_tag',
+        '_candidates',
         'configuration',
         'configuration_revision',
         'epoch_start',
+        'evacuations',
         'purged_revision',
         'revision',
         'routes',
@@ -52,7 +52,8 @@
         # All platform changes up to this revision are applied; `NO_REVISION`
         # before the first list or snapshot.
         self.revision = NO_REVISION
-        # Highest revision among the purged entries of removed backends.
+        # Highest revision among the purged entries of removed backends and
+        # ended evacuations.
         self.purged_revision = NO_REVISION
         # Revision of the first complete records of the epoch. Removals before
         # it are unknown here.
@@ -62,7 +63,8 @@
         self.routes: dict[tuple[int, int], Route] = {}
         self._by_name: dict[str, Entry] = {}
         self._by_tag: dict[int, Entry] = {}
-        self._by_service: _ServiceIndex | None = None
+        self.evacuations = Evacuations()
+        self._candidates: Candidates | None = None
 
     def apply(self, change: Change, now: float, grace_s: float) -> bool:
         """Apply a change if it is newer; tell whether it was applied.
@@ -72,6 +74,10 @@
         """
         if isinstance(change, ConfigurationChange):
             return self._apply_configuration(change)
+        if change.revision.epoch < self.revision.epoch:
+            return False
+        if isinstance(change, EvacuationChange):
+            return self.evacuations.apply(change, now)
         return self._apply_backend(change, now, grace_s)
 
     def lacks_removals(self, after: Revision) -> bool:
@@ -121,20 +127,35 @@
     ) -> tuple[Entry, ...]:
         """Return the entries of a service, or of its part in a zone.
 
-        Draining and unreadable backends are left out. A removed backend may
-        be past its grace period: check `excludes_new_flows`.
+        Draining and unreadable backends and those in evacuated zones are left
+        out. A removed backend may be past its grace period: check
+        `excludes_new_flows`.
         """
-        index = self._by_service
-        if index is None:
-            index = self._build_index()
-            self._by_service = index
-        return index.get((service, zone), ())
+        return self.candidates().usable.get((service, zone), ())
+
+    def candidates(self) -> Candidates:
+        """Return all candidates for new flows, grouped by service."""
+        found = self._candidates
+        generation = self.evacuations.generation
+        if found is None or found.generation != generation:
+            found = build_candidates(
+                filter(self._is_candidate, self._by_name.values()),
+                self.evacuations.list_active(),
+                generation,
+            )
+            self._candidates = found
+        return found
 
     def purge_removed(self, now: float) -> list[int]:
         """Drop entries of backends whose removal is older than any flow.
 
-        Returns the tags that no longer identify a backend.
+        Evacuations that ended as long ago are dropped, too. Returns the tags
+        that no longer identify a backend.
         """
+        self.purged_revision = max(
+            self.purged_revision,
+            self.evacuations.purge(now, REMOVED_RETENTION_S),
+        )
         tags: list[int] = []
         expired = [
             name
@@ -149,7 +170,7 @@
                 self._by_tag.pop(entry.backend.tag)
                 tags.append(entry.backend.tag)
         if expired:
-            self._by_service = None
+            self._candidates = None
         return tags
 
     def entries(self) -> Iterable[Entry]:
@@ -171,6 +192,7 @@
             for name, entry in self._by_name.items()
             if entry.revision > after
         ]
+        changes += self.evacuations.list_changes(after)
         if self.configuration and self.configuration.version > version:
             changes.append(
                 ConfigurationChange(
@@ -202,8 +224,6 @@
         now: float,
         grace_s: float,
     ) -> bool:
-        if change.revision.epoch < self.revision.epoch:
-            return False
         entry = self._by_name.get(change.name)
         if entry is None:
             entry = Entry(NO_REVISION, None)
@@ -228,7 +248,7 @@
     ) -> None:
         entry.revision = change.revision
         entry.readable = change.readable
-        self._by_service = None
+        self._candidates = None
         if not change.readable:
             return
         if change.backend is None:
@@ -248,28 +268,20 @@
         if current is None or current is entry or not current.is_registered():
             self._by_tag[entry.backend.tag] = entry
 
-    def _is_candidate(self, entry: Entry, backend: Backend) -> bool:
+    def _is_candidate(self, entry: Entry) -> bool:
         """Tell whether a backend is a candidate for new flows.
 
-        The end of a grace period is not checked here. If two backends have the
-        same tag, only the one that the tag is mapped to gets new flows.
+        The end of a grace period and evacuations are not checked here. If two
+        backends have the same tag, only the one that the tag is mapped to gets
+        new flows.
         """
-        if backend.draining or not entry.readable:
+        backend = entry.backend
+        if backend is None or backend.draining or not entry.readable:
             return False
         if self._by_tag.get(backend.tag) is not entry:
             return False
         return entry.removed_at is None or entry.usable_until > 0
 
-    def _build_index(self) -> _ServiceIndex:
-        index: dict[_ServiceKey, list[Entry]] = {}
-        for entry in self._by_name.values():
-            backend = entry.backend
-            if backend is not None and self._is_candidate(entry, backend):
-                service = backend.service
-                index.setdefault((service, None), []).append(entry)
-                index.setdefault((service, backend.zone), []).append(entry)
-        return {key: tuple(found) for key, found in index.items()}
-
 
 def _is_from_copy(
     entry: Entry, change: BackendChange, epoch_start: Revision
--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -25,11 +25,8 @@
 )
 from apricottally.tagged.messages import Delta, Snapshot, SnapshotRequest
 from apricottally.tagged.neighbours import Neighbour
-from apricottally.tagged.records import (
-    BackendChange,
-    Change,
-    ConfigurationChange,
-)
+from apricottally.tagged.places import transitions
+from apricottally.tagged.records import BackendChange, Change
 from apricottally.tagged.revisions import NO_REVISION, Revision
 
 if TYPE_CHECKING:
@@ -52,12 +49,16 @@
     effects += [
         recordlogs.describe_missing(state, name, event.now) for name in missing
     ]
+    ended = transitions.end_missing(
+        state, event.changes, event.revision, event.now
+    )
+    effects += transitions.describe_all(state, ended, event.now)
     _advance_revision(state, event.revision, event.requested_at, event.now)
     if event.revision.epoch != known_revision.epoch:
         # Others cannot apply a difference between two epochs.
         state.heartbeat_due = True
         return effects
-    if known_revision == NO_REVISION or not (applied or missing):
+    if known_revision == NO_REVISION or not (applied or missing or ended):
         return effects
     # The receivers need all newer records, also those that repeat what this
     # node knew of an earlier epoch; the others are repairs.
@@ -68,7 +69,7 @@
         change for change in applied if change.revision <= known_revision
     ]
     removed = [BackendChange(name, event.revision, None) for name in missing]
-    changes = (*repairs, *newer, *removed)
+    changes = (*repairs, *newer, *removed, *ended)
     delta = _build_delta(
         state, known_revision, event.revision, changes, event.now
     )
@@ -177,6 +178,10 @@
     effects += logs
     if snapshot.complete:
         _remove_missing(state, snapshot.changes, snapshot.revision, event.now)
+        ended = transitions.end_missing(
+            state, snapshot.changes, snapshot.revision, event.now
+        )
+        effects += transitions.describe_all(state, ended, event.now)
     confirmed_at = event.requested_at - snapshot.age_ms / 1000
     if snapshot.revision > state.catalog.revision:
         state.heartbeat_due = True
@@ -243,7 +248,7 @@
 
 def _clear_suspicion_on_restart(state: NodeState, change: Change) -> None:
     """Clear the suspicion of a backend that has restarted."""
-    if isinstance(change, ConfigurationChange) or change.backend is None:
+    if not isinstance(change, BackendChange) or change.backend is None:
         return
     entry = state.catalog.find_by_name(change.name)
     if entry is None or entry.backend is None:
--- a/apricottally/tagged/exposition.py
+++ b/apricottally/tagged/exposition.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from apricottally.tagged.httpresponder import HttpResponse
+from apricottally.tagged.places.transitions import count_open_flows
 
 if TYPE_CHECKING:
     from aioprometheus.collectors import Registry
@@ -64,6 +65,7 @@
 
 def _list_gauges(state: NodeState, now: float) -> list[tuple[str, float]]:
     alive = state.neighbours.list_alive(now)
+    evacuated = state.catalog.evacuations.list_active()
     return [
         ('ready', int(state.ready)),
         ('configuration_version', state.configuration_version),
@@ -73,4 +75,6 @@
         ('flows', len(state.flows.by_key)),
         ('neighbours', len(alive)),
         ('unreachable_backends', len(state.suspicion.list_unreachable(now))),
+        ('evacuated_zones', len(evacuated)),
+        ('flows_in_evacuated_zones', count_open_flows(state, evacuated)),
     ]
--- /dev/null
+++ b/apricottally/tagged/places/__init__.py
@@ -0,0 +1,1 @@
+"""Where new flows may go: evacuated zones and allowed regions of routes."""
--- a/apricottally/tagged/recordlogs.py
+++ b/apricottally/tagged/recordlogs.py
@@ -7,7 +7,12 @@
 from apricottally.effects import LogValue
 from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import WriteLog
-from apricottally.tagged.records import Change, ConfigurationChange
+from apricottally.tagged.places import transitions
+from apricottally.tagged.records import (
+    Change,
+    ConfigurationChange,
+    EvacuationChange,
+)
 from apricottally.tagged.revisions import NO_REVISION, Revision
 
 if TYPE_CHECKING:
@@ -18,6 +23,8 @@
 def describe_change(state: NodeState, change: Change, now: float) -> WriteLog:
     """Return the log record of a change that was applied."""
     age_ms = state.freshness.age_ms(now)
+    if isinstance(change, EvacuationChange):
+        return transitions.describe(state, change, now)
     if isinstance(change, ConfigurationChange):
         return WriteLog(
             'configuration_in_force',
@@ -66,6 +73,8 @@
     """Return the log record of a change that was not applied."""
     if isinstance(change, ConfigurationChange):
         record = 'configuration'
+    elif isinstance(change, EvacuationChange):
+        record = change.zone
     else:
         record = change.name
     fields: dict[str, LogValue] = {
@@ -87,6 +96,10 @@
     if isinstance(change, ConfigurationChange):
         known_revision = catalog.configuration_revision
         same = change.configuration == catalog.configuration
+    elif isinstance(change, EvacuationChange):
+        evacuation = catalog.evacuations.find(change.zone)
+        known_revision = evacuation.revision
+        same = change.active == evacuation.active
     else:
         entry = catalog.find_by_name(change.name) or Entry(NO_REVISION, None)
         known_revision = entry.revision
--- a/apricottally/tagged/records.py
+++ b/apricottally/tagged/records.py
@@ -59,7 +59,8 @@
 class Route(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """An address and port that clients use, with the services behind it.
 
-    `priority` is 0 for the most urgent requests.
+    `priority` is 0 for the most urgent requests. New flows go to backends in
+    `regions` only; none stands for all regions.
     """
 
     name: str
@@ -70,6 +71,7 @@
     priority: int
     timeout_ms: int
     latency_ms: int
+    regions: tuple[str, ...] = ()
 
 
 class Configuration(msgspec.Struct, frozen=True, array_like=True):
@@ -101,4 +103,15 @@
     configuration: Configuration
 
 
-Change: TypeAlias = BackendChange | ConfigurationChange
+class EvacuationChange(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """The evacuation of an availability zone began (`active`) or ended.
+
+    The backends of an evacuated zone get no new flows.
+    """
+
+    zone: str
+    revision: Revision
+    active: bool
+
+
+Change: TypeAlias = BackendChange | ConfigurationChange | EvacuationChange
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -31,6 +31,7 @@
     SnapshotPulled,
     Ticked,
 )
+from apricottally.tagged.places import transitions
 from apricottally.tagged.state import NodeState
 
 # A longer gap between ticks means that the process was not running.
@@ -58,6 +59,7 @@
         state.reviewed_at = now
         state.flows.expire_silent_requests(now)
         state.suspicion.review(state.catalog.entries(), now)
+        effects += transitions.tick(state, now)
         effects += platformreads.tick(state, now)
     if now - state.purged_at >= PURGE_PERIOD_S:
         state.purged_at = now
--- a/apricottally/tagged/refusals.py
+++ b/apricottally/tagged/refusals.py
@@ -9,6 +9,7 @@
 from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import Effect, Reset, WriteLog
 from apricottally.tagged.packets import RST, FlowPacket
+from apricottally.tagged.places import eligibility
 from apricottally.tagged.records import Route
 
 if TYPE_CHECKING:
@@ -62,7 +63,18 @@
     route: Route,
     now: float,
 ) -> list[Effect]:
-    """Refuse a new flow for which no backend could be selected."""
+    """Refuse a new flow for which no backend could be selected.
+
+    The acknowledgement number of a SYN counts its retransmissions. The flow
+    of a retransmitted SYN may be open through another node, at a backend that
+    was usable when the first SYN arrived there: it is dropped, not reset.
+    """
+    exclusion = eligibility.explain_exclusion(state, route)
+    if exclusion and packet.acknowledged:
+        state.counters.add('dropped', exclusion)
+        return []
+    if exclusion:
+        return reset_flow(state, packet, exclusion, now)
     has_backends = any(
         state.catalog.list_candidates(target.service)
         for target in route.targets
--- a/apricottally/tagged/retrying.py
+++ b/apricottally/tagged/retrying.py
@@ -7,6 +7,7 @@
 from apricottally.tagged import probing, refusals, selection
 from apricottally.tagged.effects import Effect, Forward
 from apricottally.tagged.flows import Flow
+from apricottally.tagged.places import eligibility
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -50,7 +51,8 @@
 ) -> list[Effect]:
     """Forward a SYN that the client has retransmitted.
 
-    It goes to another backend, or after the last attempt to the same one.
+    It goes to another backend, or after the last attempt to the same one if
+    that may still get new flows.
     """
     flow.seen_at = now
     state.suspicion.record_miss(flow.tag, flow.key, flow.syn_sent_at, now)
@@ -59,6 +61,9 @@
     entry = state.catalog.find_by_tag(flow.tag)
     if entry is None or entry.backend is None or flow.syn is None:
         return []
+    if not eligibility.is_eligible(state, flow.route, entry, now):
+        state.counters.add('retry_skipped', 'client_copy')
+        return []
     return [Forward(entry.backend, flow.syn.raw, flow.tag)]
 
 
--- a/apricottally/tagged/selection.py
+++ b/apricottally/tagged/selection.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from apricottally.tagged.catalogentry import Entry
+from apricottally.tagged.places.eligibility import list_eligible
 from apricottally.tagged.records import Backend, Route
 
 if TYPE_CHECKING:
@@ -45,13 +46,16 @@
     """Return the least loaded backend that may take the flow.
 
     Backends that the flow has already tried rank last, suspected backends
-    just before them. Returns None if no backend is known or if the queue of
-    every backend is full.
+    just before them. Backends in evacuated zones or outside the route's
+    regions are left out. Returns None if no backend is left or if the queue
+    of every backend is full.
     """
     for service in order_services(route, key):
         state.demand.count_request(service, route.priority, now)
         limit = _get_queue_limit(state, route, service)
-        found = _select_from_service(state, service, now, tried_tags, limit)
+        found = _select_from_service(
+            state, route, service, now, tried_tags, limit
+        )
         if found is not None:
             return found
     return None
@@ -88,14 +92,15 @@
 
 def _select_from_service(
     state: NodeState,
+    route: Route,
     service: str,
     now: float,
     tried_tags: tuple[int, ...],
     limit: int,
 ) -> Entry | None:
-    entries = state.catalog.list_candidates(service)
+    entries = list_eligible(state, route, service)
     if len(entries) > MAX_CANDIDATES:
-        sample = _sample_candidates(state, service, entries)
+        sample = _sample_candidates(state, route, service, entries)
         found = _find_best(state, sample, now, tried_tags, limit)
         if found is not None:
             return found
@@ -104,10 +109,11 @@
 
 def _sample_candidates(
     state: NodeState,
+    route: Route,
     service: str,
     entries: tuple[Entry, ...],
 ) -> Iterable[Entry]:
-    near = state.catalog.list_candidates(service, state.config.zone)
+    near = list_eligible(state, route, service, state.config.zone)
     half = MAX_CANDIDATES // 2
     yield from state.rng.sample(near, min(half, len(near)))
     yield from state.rng.sample(entries, half)
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -31,7 +31,8 @@
     `seeds` are peer endpoints of other nodes. Records older than `stale_s`
     count as stale. A watch waits up to `watch_wait_s` for changes. On shutdown
     the node exits `leave_s` after it stops being ready; it is killed `grace_s`
-    after the stop request. Heartbeats that are not urgent are limited to
+    after the stop request. `zone_regions` has pairs of a zone and its region.
+    Heartbeats that are not urgent are limited to
     `heartbeat_bytes_per_s`. `strict` makes a violated invariant raise
     `InvariantError`.
     """
@@ -47,6 +48,7 @@
     grace_s: float = 6.0
     heartbeat_bytes_per_s: float = 60_000
     strict: bool = False
+    zone_regions: tuple[tuple[str, str], ...] = ()
 
 
 class NodeState:  # noqa: WPS230
