--- a/tests/taggedfleet.py
+++ b/tests/taggedfleet.py
@@ -13,7 +13,12 @@
 import msgspec
 
 from apricottally.tagged import dissemination, effects, events
-from apricottally.tagged.records import BackendChange, ConfigurationChange
+from apricottally.tagged.packets import SYN
+from apricottally.tagged.records import (
+    BackendChange,
+    ConfigurationChange,
+    EvacuationChange,
+)
 from apricottally.tagged.reducer import reduce
 from apricottally.tagged.revisions import Revision
 from apricottally.tagged.state import NodeConfig, NodeState
@@ -21,6 +26,7 @@
     TICK_S,
     build_backend,
     build_configuration,
+    build_packet,
     build_request,
 )
 
@@ -63,7 +69,7 @@
         for name in sorted(names):
             change = newest.current.get(name)
             if change is None:
-                change = BackendChange(name, self._next(), None)
+                change = _remove(self.current[name])
             if not _is_same(change, self.current.get(name)):
                 at = self._next()
                 self.put(name, msgspec.structs.replace(change, revision=at))
@@ -84,6 +90,17 @@
         )
         self.put(backend.name, change)
 
+    def put_evacuation(self, zone: str, *, active: bool = True) -> None:
+        change = EvacuationChange(zone, self._next(), active)
+        self.put(f'@{zone}', change)
+
+    def list_evacuated(self) -> set[str]:
+        return {
+            change.zone
+            for change in self.list_live()
+            if isinstance(change, EvacuationChange)
+        }
+
     def _next(self) -> Revision:
         return Revision(self.revision.epoch, self.revision.number + 1)
 
@@ -104,16 +121,27 @@
 
     def list_live(self):
         return tuple(
-            change
-            for change in self.current.values()
-            if getattr(change, 'backend', change) is not None
+            change for change in self.current.values() if _is_live(change)
         )
 
 
+def _is_live(change) -> bool:
+    if isinstance(change, EvacuationChange):
+        return change.active
+    return getattr(change, 'backend', change) is not None
+
+
+def _remove(change):
+    """Return the change that removes a record."""
+    if isinstance(change, EvacuationChange):
+        return msgspec.structs.replace(change, active=False)
+    return BackendChange(change.name, change.revision, None)
+
+
 def _is_same(change, other) -> bool:
     """Tell whether two changes leave the same record behind."""
     if other is None:
-        return getattr(change, 'backend', change) is None
+        return not _is_live(change)
     at = change.revision
     return change == msgspec.structs.replace(other, revision=at)
 
@@ -128,7 +156,8 @@
     """Nodes, the datagrams between them, and their calls to the platform.
 
     The platform refuses requests of the nodes in `refused`; the nodes in
-    `frozen` handle no events.
+    `frozen` handle no events. Nodes of the zone `cut` reach only each other.
+    `forwarded` has the node and the backend of each first packet of a flow.
     """
 
     def __init__(
@@ -142,16 +171,19 @@
         self.nodes: dict[str, NodeState] = {}
         self.refused: set[str] = set()
         self.frozen: set[str] = set()
+        self.cut = ''
+        self.forwarded: list = []
         self._queue: list = []
         self._event_ids = itertools.count()
         self._node_count = nodes
+        self._client_ports = itertools.count(1)
         self._watches: dict[str, tuple[float, int]] = {}
 
     def start(self, name: str) -> None:
         index = int(name[1:])
         config = NodeConfig(
             name,
-            self.zones[index % len(self.zones)],
+            self._get_zone(name),
             f'10.1.0.{index}',
             PORT,
             seeds=(('10.1.0.0', PORT), ('10.1.0.1', PORT)),
@@ -178,12 +210,30 @@
             for name in sorted(self.nodes):
                 self._submit(name, events.Ticked(self.now))
 
+    def open_flows(self) -> None:
+        """Send the first packet of a new flow to each node."""
+        for name in sorted(self.nodes):
+            packet = build_packet(next(self._client_ports), SYN)
+            self._submit(name, events.PacketArrived(self.now, packet))
+
+    def _is_reached(self, name: str, target: str) -> bool:
+        zones = self._get_zone(name), self._get_zone(target)
+        return zones[0] == zones[1] or self.cut not in zones
+
+    def _is_refused(self, name: str) -> bool:
+        return name in self.refused or self._get_zone(name) == self.cut
+
+    def _get_zone(self, name: str) -> str:
+        return self.zones[int(name[1:]) % len(self.zones)]
+
     def _submit(self, name: str, event) -> None:
         state = self.nodes.get(name)
         if state is None or name in self.frozen:
             return
         before = state.configuration_version
         for effect in reduce(state, event):
+            if isinstance(effect, effects.Forward):
+                self.forwarded.append((name, effect.backend))
             self._apply_effect(name, effect)
         assert state.configuration_version >= before
 
@@ -201,9 +251,9 @@
             self._schedule(0.004, self._answer_pull, name, effect, self.now)
 
     def _send(self, name: str, dest, payload: bytes) -> None:
-        if self.rng.random() < self.loss:
-            return
         target = 'n' + dest[0].rpartition('.')[2]
+        if self.rng.random() < self.loss or not self._is_reached(name, target):
+            return
         source = ('10.1.0.' + name[1:], PORT)
         delay = self.rng.uniform(0.0005, 0.03)
         self._schedule(delay, self._receive, target, source, payload)
@@ -222,7 +272,7 @@
             action(*arguments)
 
     def _answer_list(self, name: str, requested_at: float) -> None:
-        if name in self.refused or not self.platform.admit_list(self.now):
+        if self._is_refused(name) or not self.platform.admit_list(self.now):
             self._submit(name, events.ReadFailed(self.now, 'status_503'))
             return
         event = events.RecordsListed(
@@ -237,7 +287,8 @@
         source = self.nodes.get(effect.peer)
         state = self.nodes.get(name)
         snapshot = None
-        if source is not None and state is not None:
+        is_reached = self._is_reached(name, effect.peer)
+        if source is not None and state is not None and is_reached:
             snapshot = dissemination.build_snapshot(
                 source, build_request(state), self.now
             )
@@ -255,7 +306,7 @@
 
     def _build_answer(self, name: str, requested_at: float, after: int):
         """Return the answer to a watch, or None while it waits."""
-        if name in self.refused:
+        if self._is_refused(name):
             return events.ReadFailed(self.now, 'status_503')
         if not self.platform.has_history(after):
             return events.ReadFailed(self.now, 'compacted', compacted=True)
--- a/tests/taggednode.py
+++ b/tests/taggednode.py
@@ -70,6 +70,24 @@
     return Configuration(version, routes, 15_000)
 
 
+def build_packet(client_port: int, flags: int, **fields) -> FlowPacket:
+    port = fields.pop('port', FEED_PORT)
+    defaults = {
+        'key': client_port.to_bytes(4, 'big') + port.to_bytes(2, 'big'),
+        'client': CLIENT,
+        'client_port': client_port,
+        'address': ADDRESS,
+        'port': port,
+        'flags': flags,
+        'sequence': 0,
+        'acknowledged': 0,
+        'length': 0,
+        'tag': 0,
+        'raw': b'',
+    }
+    return FlowPacket(**(defaults | fields))
+
+
 def rev(number: int, epoch: int = 1) -> Revision:
     return Revision(epoch, number)
 
@@ -138,21 +156,7 @@
         self.state.freshness.confirm(self.now, self.now)
 
     def send(self, client_port: int, flags: int, **fields):
-        port = fields.pop('port', FEED_PORT)
-        defaults = {
-            'key': client_port.to_bytes(4, 'big') + port.to_bytes(2, 'big'),
-            'client': CLIENT,
-            'client_port': client_port,
-            'address': ADDRESS,
-            'port': port,
-            'flags': flags,
-            'sequence': 0,
-            'acknowledged': 0,
-            'length': 0,
-            'tag': 0,
-            'raw': b'',
-        }
-        packet = FlowPacket(**(defaults | fields))
+        packet = build_packet(client_port, flags, **fields)
         return self.submit(events.PacketArrived(self.now, packet))
 
     def open_flow(self, client_port: int, **fields) -> int:
