--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -15,6 +15,7 @@
 from apricottally.tagged.records import (
     BackendChange,
     ConfigurationChange,
+    EvacuationChange,
     Repetition,
 )
 from tests.asyncruns import run
@@ -172,6 +173,61 @@
     assert [target.weight for target in found.targets] == [90, 10]
 
 
+@pytest.mark.parametrize(
+    ('fields', 'regions'),
+    [
+        ({}, ()),
+        ({'allowed-regions': []}, ()),
+        ({'allowed-regions': None}, ()),
+        ({'allowed-regions': ['north', 'south']}, ('north', 'south')),
+    ],
+)
+def test_regions_of_route(fields, regions) -> None:
+    """Guards against a route that is restricted to the wrong regions."""
+    route = {'name': 'r', 'host': '198.18.0.1', 'prefix': '/8443/'} | fields
+    value = encode({'version': 7, 'routes': [route]})
+    change = records.decode_item(records.Item('op/config', 8, value), 1)
+    assert isinstance(change, ConfigurationChange)
+    assert change.configuration.routes[0].regions == regions
+
+
+@pytest.mark.parametrize('zone', ['a', 'sv-d', 'a/b', 'no backends'])
+@pytest.mark.parametrize('value', ['', '%', encode({'since': 5})])
+def test_evacuation(zone, value) -> None:
+    """Guards against an evacuation that is ignored for its value."""
+    key = f'op/evacuate/{zone}'
+    for deleted in (False, True):
+        item = records.Item(key, 8, value, deleted)
+        expected = EvacuationChange(zone, rev(8), active=not deleted)
+        assert records.decode_item(item, 1) == expected
+
+
+@pytest.mark.parametrize('key', ['op/evacuate/', 'op/evacuate', 'op/evacuated'])
+def test_key_without_zone(key) -> None:
+    """Guards against an evacuation of a zone that no key names."""
+    assert records.decode_item(records.Item(key, 8), 1) is None
+
+
+def test_evacuations_in_store() -> None:
+    """Guards against an evacuation that lists or watches leave out."""
+
+    async def scenario() -> None:
+        async with open_fake_store() as fake:
+            for index in range(1, 6):
+                fake.put_server(f'i-{index:08x}')
+            fake.put('op/evacuate/a', b'\xff')
+            store = StoreClient(fake.endpoint)
+            listing = await store.list_records()
+            begun = EvacuationChange('a', fake.latest, active=True)
+            assert begun in listing.changes
+            fake.put('op/evacuate/a', None)
+            listing = await store.watch(listing.revision, 1)
+            ended = EvacuationChange('a', fake.latest, active=False)
+            assert listing.changes == (ended,)
+
+    run(scenario())
+
+
 def test_list_over_pages() -> None:
     """A list must not end after its first page."""
 
@@ -335,6 +391,9 @@
 grace-s = 6
 [platform]
 address = "10.200.1.7:8169"
+[zones]
+b = "south"
+a = "north"
 """
 
 
@@ -347,6 +406,7 @@
     assert found.node.seeds == (('10.1.0.10', 7720),)
     assert found.node.stale_s + found.node.watch_wait_s < 3
     assert found.node.leave_s < 6
+    assert found.node.zone_regions == (('a', 'north'), ('b', 'south'))
 
 
 @pytest.mark.parametrize(
@@ -356,6 +416,7 @@
         ('8167"', '0"', 1),
         ('"127.0.0.1:8172"', '"x"', 1),
         ('[bounds]', '[bounds', 1),
+        ('"north"', '7', 1),
     ],
 )
 def test_faulty_settings(tmp_path, monkeypatch, old, new, error_count) -> None:
--- a/tests/test_tagged_evacuation.py
+++ b/tests/test_tagged_evacuation.py
@@ -169,8 +169,9 @@
         change = EvacuationChange('a', rev(number), is_active)
         node.apply_changes(max(number, 13), change)
     assert (open_from(node, 1) == 'b') is active
-    old = EvacuationChange('a', rev(99, 0), not active)
-    node.apply_changes(14, old)
+    for zone, is_active in (('a', not active), ('b', True)):
+        old = EvacuationChange(zone, rev(99, 0), is_active)
+        node.apply_changes(14, old)
     assert (open_from(node, 2) == 'b') is active
 
 
@@ -275,6 +276,16 @@
         assert {sent.backend.zone for sent in retried} <= {opened}
 
 
+def test_sample_is_taken_from_allowed_regions() -> None:
+    """Guards against a large service whose sample includes other regions."""
+    node = TaggedNode(0, zone_regions=(('a', 'north'), ('b', 'south')))
+    route = build_route(REGION_PORT, Repetition.idempotent, regions=('south',))
+    backends = [build_backend(tag, zone='ab'[tag > 9]) for tag in range(1, 99)]
+    node.load_records(10, backends, build_configuration(2, (route,)))
+    for client_port in range(20):
+        assert open_from(node, client_port, port=REGION_PORT) == 'b'
+
+
 def build_fleet(seed: int, nodes: int, zones: str = ZONES) -> Fleet:
     fleet = Fleet(seed, nodes, zones=zones)
     fleet.platform.put_configuration(1)
--- a/tests/test_tagged_process.py
+++ b/tests/test_tagged_process.py
@@ -32,6 +32,14 @@
 SYN = bytes.fromhex(
     '02 7f000001 c6120001 01bb 9c41 a1b2c3d5 0000 11223344 00000000 00000000'
 )
+SECOND_SYN = SYN.replace(bytes.fromhex('9c41'), bytes.fromhex('9c42'))
+EXPECTED_EVENTS = (
+    'started',
+    'reloaded',
+    'chosen',
+    'zone_evacuated',
+    'stopping',
+)
 
 
 def find_ports(count: int) -> list[int]:
@@ -91,6 +99,17 @@
     return body.decode()
 
 
+async def wait_for_metric(port: int, line: str) -> None:
+    """Wait up to 3 s until a metric has the value in the line."""
+    text = ''
+    async for _ in iterate_sequentially(range(60)):
+        text = await request_metrics(port)
+        if line in text:
+            return
+        await asyncio.sleep(0.05)
+    assert line in text
+
+
 async def start(settings: Path, **env: str) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
@@ -196,7 +215,8 @@
     """Guards against a program that fails to start, reload or stop.
 
     It becomes ready, keeps running after SIGHUP, forwards a first packet to the
-    backend, and exits with status 0 after SIGTERM.
+    backend, refuses one while the zone is evacuated, and exits with status 0
+    after SIGTERM.
     """
 
     async def scenario() -> None:
@@ -228,11 +248,16 @@
             assert 'apricottally_chosen_total{reason="r"} 1' in text
             assert 'apricottally_platform_call_seconds_bucket' in text
             assert 'apricottally_configuration_version 1' in text
+            fake.put('op/evacuate/a', b'?')
+            await wait_for_metric(ports[3], 'apricottally_evacuated_zones 1')
+            backend.sendto(SECOND_SYN, ('127.0.0.1', ports[0]))
+            refused = 'apricottally_refused_total{reason="evacuated"} 1'
+            await wait_for_metric(ports[3], refused)
             process.send_signal(signal.SIGTERM)
             output, _ = await process.communicate()
             assert process.returncode == 0
             found = [json.loads(line)['event'] for line in output.splitlines()]
-            for event in ('started', 'reloaded', 'chosen', 'stopping'):
+            for event in EXPECTED_EVENTS:
                 assert event in found
             assert found[-1] == 'stopped'
         backend.close()
