Add the setting for the longest wait of a SYN

Cause: a SYN for which no backend has room is reset at once, and its client has used all tries within 40 ms. Change: NodeConfig.max_wait_s from MAX_WAIT_MS; 0 and unset keep the present behaviour. Nothing reads the field yet. Result: tests of the settings pass; invalid values end the start.

--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -31,9 +31,10 @@
     `seeds` are peer endpoints of other nodes. Records older than `stale_s`
     count as stale. A watch waits up to `watch_wait_s` for changes. On shutdown
     the node exits `leave_s` after it stops being ready; it is killed `grace_s`
-    after the stop request. Heartbeats that are not urgent are limited to
-    `heartbeat_bytes_per_s`. `strict` makes a violated invariant raise
-    `InvariantError`.
+    after the stop request. A SYN for which no backend has room waits up to
+    `max_wait_s` for one; 0 refuses it at once. Heartbeats that are not urgent
+    are limited to `heartbeat_bytes_per_s`. `strict` makes a violated invariant
+    raise `InvariantError`.
     """
 
     name: str
@@ -45,6 +46,7 @@
     watch_wait_s: float = 1.0
     leave_s: float = 1.4
     grace_s: float = 6.0
+    max_wait_s: float = 0
     heartbeat_bytes_per_s: float = 60_000
     strict: bool = False
 
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -366,3 +366,30 @@
     with pytest.raises(ExceptionGroup) as caught:
         settings.load_settings()
     assert len(caught.value.exceptions) == error_count
+
+
+@pytest.mark.parametrize(
+    ('text', 'wait_s'),
+    [
+        (None, 0),
+        ('0', 0),
+        ('1200', 1.2),
+        ('-1', None),
+        ('1e9', None),
+        ('', None),
+        ('60001', None),
+    ],
+)
+def test_max_wait(tmp_path, monkeypatch, text, wait_s) -> None:
+    """Guards against a wait without a setting, and one of invalid length."""
+    path = tmp_path / 'node.toml'
+    path.write_text(SETTINGS)
+    monkeypatch.setenv(settings.SETTINGS_PATH_VARIABLE, str(path))
+    monkeypatch.delenv(settings.MAX_WAIT_VARIABLE, raising=False)
+    if text is not None:
+        monkeypatch.setenv(settings.MAX_WAIT_VARIABLE, text)
+    if wait_s is None:
+        with pytest.raises(ExceptionGroup, match='settings'):
+            settings.load_settings()
+    else:
+        assert settings.load_settings().node.max_wait_s == wait_s
