Let SYNs wait at a node until a backend has room

Cause: a SYN that found all queues full was reset at once; its client used all tries within 40 ms, and urgent flows failed as often as others. Change: package queueing with the queue (priority, latency target, caller with the fewest admitted flows, age) and the decisions. A flow is reset only if all copies of its SYN that are due have arrived here; otherwise it is dropped silently. With max_wait_s = 0 nodes act as before.

--- a/apricottally/tagged/durations.py
+++ b/apricottally/tagged/durations.py
@@ -54,10 +54,12 @@
     `answer` is the time from forwarding a SYN to the client's next packet,
     `platform_call` the duration of reads from the platform, `in_force` the
     age of records when they are applied, `choice_age` the age of the records
-    when a backend is selected.
+    when a backend is selected, `queue_wait` how long a forwarded SYN has
+    waited for a backend.
     """
 
     answer: Histogram = field(default_factory=Histogram)
     platform_call: Histogram = field(default_factory=Histogram)
     in_force: Histogram = field(default_factory=Histogram)
     choice_age: Histogram = field(default_factory=Histogram)
+    queue_wait: Histogram = field(default_factory=Histogram)
--- a/apricottally/tagged/exposition.py
+++ b/apricottally/tagged/exposition.py
@@ -59,6 +59,7 @@
         ('platform_call', durations.platform_call),
         ('in_force', durations.in_force),
         ('choice_age', durations.choice_age),
+        ('queue_wait', durations.queue_wait),
     ]
 
 
@@ -71,6 +72,7 @@
         ('revision', state.catalog.revision.number),
         ('records_age_seconds', state.freshness.age_ms(now) / 1000),
         ('flows', len(state.flows.by_key)),
+        ('waiting_flows', len(state.waiting.by_key)),
         ('neighbours', len(alive)),
         ('unreachable_backends', len(state.suspicion.list_unreachable(now))),
     ]
--- /dev/null
+++ b/apricottally/tagged/queueing/lane.py
@@ -0,0 +1,95 @@
+"""Waiting flows of the routes that have the same services."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+from apricottally.tagged.queueing.callerorder import CallerOrder
+from apricottally.tagged.queueing.slidingcounts import SlidingCounts
+from apricottally.tagged.queueing.waitingflow import WaitingFlow
+
+# Priority of the route, whether the flow is late, flows of the caller admitted
+# recently, and number of the flow. The lowest rank is admitted first.
+Rank: TypeAlias = tuple[int, bool, int, int]
+
+
+class Lane:
+    """The waiting flows of one set of services, in the order of admission.
+
+    `blocked_priority` is the priority of the flow for which no backend had
+    room at the last attempt, None if an attempt is due. Less urgent flows need
+    not be tried then, since the limits of the backends' queues are not higher
+    for them.
+    """
+
+    __slots__ = ('_admitted', '_orders', 'blocked_priority', 'services', 'size')
+
+    def __init__(
+        self,
+        services: tuple[str, ...],
+        admitted: SlidingCounts[int],
+    ) -> None:
+        self.services = services
+        self.size = 0
+        self.blocked_priority: int | None = None
+        self._admitted = admitted
+        # By priority and lateness; orders without flows are removed.
+        self._orders: dict[tuple[int, bool], CallerOrder] = {}
+
+    def is_blocked_for(self, priority: int) -> bool:
+        """Tell whether flows of a priority have to wait for an attempt."""
+        blocked = self.blocked_priority
+        return blocked is not None and priority >= blocked
+
+    def add(self, flow: WaitingFlow) -> None:
+        """Add a flow at its place."""
+        place = (flow.route.priority, flow.is_late)
+        order = self._orders.get(place)
+        if order is None:
+            order = CallerOrder(self._admitted)
+            self._orders[place] = order
+        order.add(flow)
+        self.size += 1
+
+    def remove(self, flow: WaitingFlow) -> None:
+        """Remove a flow of this lane."""
+        place = (flow.route.priority, flow.is_late)
+        order = self._orders[place]
+        order.remove(flow)
+        self.size -= 1
+        if not order.size:
+            self._orders.pop(place)
+
+    def update(self, caller: int) -> None:
+        """Move the flows of a caller whose count has changed."""
+        for order in self._orders.values():
+            order.update(caller)
+
+    def get_first(self) -> WaitingFlow | None:
+        """Return the flow to admit next, None if the lane is empty."""
+        if not self._orders:
+            return None
+        return self._orders[min(self._orders)].get_first()
+
+    def get_last(self) -> WaitingFlow | None:
+        """Return the flow to admit last, None if the lane is empty."""
+        if not self._orders:
+            return None
+        return self._orders[max(self._orders)].get_last()
+
+    def rank(self, flow: WaitingFlow) -> Rank:
+        """Return the place of a flow in the order of admission."""
+        count = self._admitted.count(flow.packet.client)
+        return flow.route.priority, flow.is_late, count, flow.number
+
+    def count_before(self, flow: WaitingFlow) -> int:
+        """Return how many flows of more urgent classes are waiting."""
+        place = (flow.route.priority, flow.is_late)
+        return sum(
+            order.size for key, order in self._orders.items() if key < place
+        )
+
+    def count_class(self, flow: WaitingFlow) -> int:
+        """Return how many flows of a flow's own class are waiting."""
+        order = self._orders.get((flow.route.priority, flow.is_late))
+        return order.size if order else 0
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -31,10 +31,9 @@
     SnapshotPulled,
     Ticked,
 )
+from apricottally.tagged.queueing import admission
 from apricottally.tagged.state import NodeState
 
-# A longer gap between ticks means that the process was not running.
-PAUSE_THRESHOLD_S = 0.15
 REVIEW_PERIOD_S = 0.05
 PURGE_PERIOD_S = 2.0
 
@@ -48,12 +47,14 @@
     now = event.now
     effects: list[Effect] = []
     gap = now - state.ticked_at
+    paused = state.is_paused(now)
     state.ticked_at = now
-    if gap > PAUSE_THRESHOLD_S:
+    if paused:
         effects += _recover_from_pause(state, gap)
     else:
         effects += retrying.retry_unanswered(state, now)
         effects += probing.probe_stalled(state, now)
+        effects += admission.tick(state, now)
     if now - state.reviewed_at >= REVIEW_PERIOD_S:
         state.reviewed_at = now
         state.flows.expire_silent_requests(now)
@@ -78,6 +79,7 @@
     state.suspicion.clear()
     for flow in state.flows.half_open:
         flow.syn_sent_at += gap
+    admission.recover_from_pause(state, state.ticked_at)
     state.counters.add('paused', 'tick_late')
     return [WriteLog('paused', {'gap_ms': int(gap * 1000)})]
 
--- a/apricottally/tagged/refusals.py
+++ b/apricottally/tagged/refusals.py
@@ -63,13 +63,16 @@
     now: float,
 ) -> list[Effect]:
     """Refuse a new flow for which no backend could be selected."""
+    return reset_flow(state, packet, explain_refusal(state, route), now)
+
+
+def explain_refusal(state: NodeState, route: Route) -> str:
+    """Return the reason for which no backend could be selected."""
     has_backends = any(
         state.catalog.list_candidates(target.service)
         for target in route.targets
     )
-    return reset_flow(
-        state, packet, 'full' if has_backends else 'no_backend', now
-    )
+    return 'full' if has_backends else 'no_backend'
 
 
 def reset_flow(
--- a/apricottally/tagged/retrying.py
+++ b/apricottally/tagged/retrying.py
@@ -45,6 +45,16 @@
     return effects
 
 
+def is_answer_pending(state: NodeState, flow: Flow, now: float) -> bool:
+    """Tell whether the SYN was forwarded too recently to be unanswered.
+
+    A SYN that has waited may be forwarded just before the client's copy
+    arrives. The copy must not make the backend suspect.
+    """
+    flow.seen_at = now
+    return now - flow.syn_sent_at < state.answer_time.timeout_s
+
+
 def retry_retransmitted(
     state: NodeState, flow: Flow, now: float
 ) -> list[Effect]:
--- a/apricottally/tagged/selection.py
+++ b/apricottally/tagged/selection.py
@@ -19,6 +19,10 @@
 QUEUE_LIMIT = 8
 URGENT_QUEUE_LIMIT = 12
 DEFERRED_QUEUE_LIMIT = 1
+# The same two limits if SYNs may wait at the nodes, where their order is kept:
+# one for the most urgent or the only class, and one for the others.
+WAITING_URGENT_LIMIT = 4
+WAITING_DEFERRED_LIMIT = 1
 # Load, in requests in progress, that is added for each open flow, for a backend
 # in another zone, and for a backend that is still slow after its start.
 OPEN_FLOW_WEIGHT = 0.05
@@ -41,25 +45,41 @@
     key: bytes,
     now: float,
     tried_tags: tuple[int, ...] = (),
+    *,
+    is_repeated: bool = False,
 ) -> Entry | None:
     """Return the least loaded backend that may take the flow.
 
+    `is_repeated` is set if the flow was counted as demand before.
     Backends that the flow has already tried rank last, suspected backends
     just before them. Returns None if no backend is known or if the queue of
     every backend is full.
     """
     for service in order_services(route, key):
-        state.demand.count_request(service, route.priority, now)
-        limit = _get_queue_limit(state, route, service)
+        if not is_repeated:
+            state.demand.count_request(service, route.priority, now)
+        limit = get_queue_limit(state, route, service)
         found = _select_from_service(state, service, now, tried_tags, limit)
         if found is not None:
             return found
     return None
 
 
-def _get_queue_limit(state: NodeState, route: Route, service: str) -> int:
+def count_demand(
+    state: NodeState, route: Route, key: bytes, now: float
+) -> None:
+    """Count a flow that waits without a selection."""
+    for service in order_services(route, key):
+        state.demand.count_request(service, route.priority, now)
+
+
+def get_queue_limit(state: NodeState, route: Route, service: str) -> int:
     """Return how many requests may be queued at a backend of the service."""
     priorities = state.demand.list_active_priorities(service)
+    if state.config.max_wait_s:
+        if len(priorities) < 2 or route.priority <= priorities[0]:
+            return WAITING_URGENT_LIMIT
+        return WAITING_DEFERRED_LIMIT
     if len(priorities) == 1:
         return QUEUE_LIMIT
     if route.priority <= priorities[0]:
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -20,9 +20,13 @@
 from apricottally.tagged.neighbours import Neighbours
 from apricottally.tagged.occupancy import Occupancy
 from apricottally.tagged.platformreads import ReadState
+from apricottally.tagged.queueing.waiting import WaitingQueue
 from apricottally.tagged.suspicion import Suspicion
 from apricottally.tokenbucket import TokenBucket
 
+# A longer gap between ticks means that the process was not running.
+PAUSE_THRESHOLD_S = 0.15
+
 
 class NodeConfig(msgspec.Struct, frozen=True):
     """Configuration of a node, fixed at its start.
@@ -73,6 +77,7 @@
         self.answer_time = AnswerTime()
         self.durations = Durations()
         self.demand = Demand()
+        self.waiting = WaitingQueue()
         self.read_state = ReadState()
         own = Peer(
             config.name,
@@ -105,6 +110,10 @@
         """Whether this node is shutting down and therefore not ready."""
         return self.stopping_since is not None
 
+    def is_paused(self, now: float) -> bool:
+        """Tell whether the process has not been running until now."""
+        return now - self.ticked_at > PAUSE_THRESHOLD_S
+
     @property
     def configuration_version(self) -> int:
         """Version of the current configuration; 0 if there is none."""
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -8,11 +8,18 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally.tagged import flowtracking, refusals, retrying, selection
+from apricottally.tagged import (
+    flowtracking,
+    openings,
+    refusals,
+    retrying,
+    selection,
+)
 from apricottally.tagged.effects import Effect, Forward
 from apricottally.tagged.events import PacketArrived
 from apricottally.tagged.flows import Flow
 from apricottally.tagged.packets import ACK, SYN, FlowPacket
+from apricottally.tagged.queueing import admission
 from apricottally.tagged.records import Repetition, Route
 
 if TYPE_CHECKING:
@@ -24,7 +31,11 @@
     packet = event.packet
     if packet.flags & SYN and not packet.flags & ACK:
         return _handle_syn(state, packet, event.now)
-    return _handle_non_syn(state, packet, event.now)
+    if not state.config.max_wait_s:
+        return _handle_non_syn(state, packet, event.now)
+    was_busy = admission.begin_packet(state, packet)
+    effects = _handle_non_syn(state, packet, event.now)
+    return effects + admission.end_packet(state, packet, was_busy, event.now)
 
 
 def _handle_syn(
@@ -38,27 +49,12 @@
     flow = state.flows.by_key.get(packet.key)
     if flow is not None and flow.initial_sequence == packet.sequence:
         return _handle_retransmitted_syn(state, flow, now)
+    if state.config.max_wait_s:
+        return admission.admit(state, packet, route, now)
     entry = selection.select_backend(state, route, packet.key, now)
-    if entry is None or entry.backend is None:
+    if entry is None:
         return refusals.refuse_overloaded(state, packet, route, now)
-    backend = entry.backend
-    state.flows.insert(
-        Flow(
-            packet.key,
-            backend.tag,
-            route,
-            now,
-            now,
-            syn=packet,
-            tried_tags=(backend.tag,),
-            initial_sequence=packet.sequence,
-        ),
-    )
-    state.counters.add('chosen', route.name)
-    return [
-        Forward(backend, packet.raw, backend.tag),
-        refusals.build_selection_log(state, 'chosen', packet, entry, now),
-    ]
+    return openings.forward_syn(state, packet, route, entry, now)
 
 
 def _handle_retransmitted_syn(
@@ -69,6 +65,8 @@
     """Retry a SYN that the client retransmitted; drop it if it is late."""
     if flow.established or flow.closed:
         return []
+    if state.config.max_wait_s and retrying.is_answer_pending(state, flow, now):
+        return []
     return retrying.retry_retransmitted(state, flow, now)
 
 
