Test the bounds, the order and the stop of the queue of SYNs

Change: tests of refusal at once, overtaking, late flows, demand, a stop, a pause, SYNs that were unread during a pause, and bounded memory and attempts.

--- a/tests/test_tagged_queueing.py
+++ b/tests/test_tagged_queueing.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from apricottally.tagged import effects, events, packets
+from apricottally.effects import Exit
+from apricottally.tagged import effects, events, packets, selection
 from apricottally.tagged.queueing import admission
 from apricottally.tagged.queueing.lane import Lane
 from apricottally.tagged.queueing.slidingcounts import SlidingCounts
@@ -346,3 +347,168 @@
     for caller in totals:
         totals[caller] += counts.count(caller)
     return max(found, key=lambda one: (totals[one.packet.client], one.number))
+
+
+@pytest.mark.parametrize(
+    ('rate', 'served'), [(0, 16), (10, 16), (50, 60), (100, 120)]
+)
+def test_flow_that_cannot_be_served(rate, served) -> None:
+    """Guards against clients that wait for nothing behind a long queue."""
+    node = build_node()
+    for _ in range(rate):
+        node.state.waiting.admitted.record(('core',), node.now)
+    outcomes = [send_syn(node, number, client=number) for number in range(130)]
+    assert outcomes == [[]] * served + [[effects.Reset]] * (130 - served)
+    send_syn(node, 500, port=URGENT_PORT)
+    assert node.list_forwarded() == []
+    resets = node.select_effects(effects.Reset)
+    assert [reset.packet.client_port for reset in resets] == [served - 1]
+
+
+def test_urgent_flows_before_it_leave_no_time() -> None:
+    """Guards against a wait behind urgent flows that take all the time."""
+    node = build_node()
+    for number in range(16):
+        assert send_syn(node, number, port=URGENT_PORT, client=number) == []
+    assert send_syn(node, 99, client=99) == [effects.Reset]
+
+
+def test_new_syn_does_not_overtake() -> None:
+    """Guards against a new SYN that takes the room of a waiting one."""
+    node = build_node()
+    send_syn(node, 1)
+    set_busy(node, 5)
+    assert send_syn(node, 2) == []
+    assert list_ports(node, node.run(2 * TICK_S)) == [1]
+
+
+def test_end_of_request_admits_next() -> None:
+    """Guards against a slot that stays free until the next tick."""
+    node = build_node(busy=0)
+    tag = node.open_flow(1)
+    node.send_request(1, tag)
+    set_busy(node, 6)
+    send_syn(node, 2)
+    node.run(0.05)
+    node.send(1, packets.ACK, sequence=1101, acknowledged=900, tag=tag)
+    assert list_ports(node, node.effects) == [2]
+    mean_s = node.state.waiting.run_times.get_mean_s(f'route-{FEED_PORT}')
+    assert mean_s == pytest.approx(0.05)
+
+
+def test_late_flow_is_after_others() -> None:
+    """Guards against a room for a flow that will miss its latency target.
+
+    The newer flow can still meet the target of 150 ms.
+    """
+    node = build_node()
+    send_syn(node, 1, client=1)
+    node.run(0.2)
+    send_syn(node, 2, client=2)
+    set_busy(node, 5)
+    assert list_ports(node, node.run(TICK_S)) == [2]
+
+
+def test_waiting_does_not_count_as_demand() -> None:
+    """Guards against attempts in each tick that make a rare class active."""
+    node = build_node()
+    send_syn(node, 1, port=URGENT_PORT)
+    node.run(0.5)
+    assert node.state.demand.count_recent('core').total() == 1
+
+
+@pytest.mark.parametrize(('at_s', 'grace_s'), [(0, 6), (1, 6), (1, 1)])
+def test_stop_empties_queue(at_s, grace_s) -> None:
+    """Guards against SYNs that a stopping node takes with it.
+
+    Some SYNs arrive before the node stops being ready, others after it.
+    """
+    node = build_node(leave_s=min(1.4, grace_s / 2), grace_s=grace_s)
+    send_syn(node, 1)
+    node.run(at_s)
+    node.submit(events.ShutdownRequested(node.now))
+    found = []
+    for number in range(2, 300):
+        found += node.run(TICK_S)
+        if any(isinstance(effect, Exit) for effect in found):
+            break
+        send_syn(node, number, client=number)
+        found += node.effects
+    assert number < 299
+    # One more SYN may have arrived since the last tick.
+    assert not count_waiting(node)
+
+
+@pytest.mark.parametrize(('pause_s', 'left'), [(0.3, 1), (0.7, 0)])
+def test_pause_of_process(pause_s, left) -> None:
+    """Guards against resets after a pause, in which clients have moved.
+
+    Without a pause, the end of this wait would reset the flow.
+    """
+    node = build_node()
+    for copy, delay_s in enumerate((0.2, 0.4, 0)):
+        send_syn(node, 1, copy)
+        node.run(delay_s)
+    node.now += pause_s
+    assert list_outcomes(node.submit(events.Ticked(node.now))) == []
+    assert count_waiting(node) == left
+
+
+def test_syn_that_was_unread_during_pause(monkeypatch) -> None:
+    """Guards against a reset of a SYN that is older than it looks."""
+    monkeypatch.setattr(admission, 'MIN_WAITING_FLOWS', 0)
+    node = build_node()
+    node.now += 0.3
+    assert send_syn(node, 1) == []
+    node.submit(events.Ticked(node.now))
+    assert send_syn(node, 2) == []
+    node.run(admission.BACKLOG_DURATION_S + TICK_S)
+    assert send_syn(node, 3) == [effects.Reset]
+
+
+def test_flood_uses_bounded_memory(monkeypatch) -> None:
+    """Guards against memory that grows with a flood of SYNs.
+
+    Each of 6,000 flows has another caller and replaces a less urgent one.
+    """
+    monkeypatch.setattr(admission, 'MAX_WAITING_FLOWS', 400)
+    monkeypatch.setattr(admission, 'MIN_WAITING_FLOWS', 10_000)
+    node = build_node()
+    queue = node.state.waiting
+    queue.callers = SlidingCounts(5, 500)
+    for number in range(6000):
+        port = URGENT_PORT if number > 3000 else FEED_PORT
+        send_syn(node, number, client=number, port=port)
+        if number % 50 == 0:
+            set_busy(node, 0)
+            node.run(TICK_S)
+            set_busy(node, FULL)
+    assert count_waiting(node) == 400
+    assert len(queue.callers) <= 550
+    assert len(queue._timers) <= 2 * 400 + 65
+    for order in queue.lanes['core',]._orders.values():
+        assert len(order._first) + len(order._last) <= 4 * 400 + 130
+
+
+def test_tick_does_not_try_the_whole_queue(monkeypatch) -> None:
+    """Guards against a tick whose cost grows with the number of waiting SYNs.
+
+    Once a flow has no room, no other flow of these services is tried.
+    """
+    monkeypatch.setattr(admission, 'MIN_WAITING_FLOWS', 10_000)
+    tried = []
+    select = selection.select_backend
+    monkeypatch.setattr(
+        selection,
+        'select_backend',
+        lambda *args, **options: tried.append(1) or select(*args, **options),
+    )
+    node = build_node()
+    for number in range(2000):
+        send_syn(node, number, client=number)
+    assert (len(tried), count_waiting(node)) == (1, 2000)
+    node.run(TICK_S)
+    assert len(tried) == 2
+    set_busy(node, 3)
+    node.run(TICK_S)
+    assert (len(tried), count_waiting(node)) == (6, 1997)
