--- a/apricottally/tagged/retrying.py
+++ b/apricottally/tagged/retrying.py
@@ -51,7 +51,6 @@
     A SYN that has waited may be forwarded just before the client's copy
     arrives. The copy must not make the backend suspect.
     """
-    flow.seen_at = now
     return now - flow.syn_sent_at < state.answer_time.timeout_s
 
 
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -66,6 +66,7 @@
     if flow.established or flow.closed:
         return []
     if state.config.max_wait_s and retrying.is_answer_pending(state, flow, now):
+        flow.seen_at = now
         return []
     return retrying.retry_retransmitted(state, flow, now)
 
--- a/tests/test_tagged_queueing.py
+++ b/tests/test_tagged_queueing.py
@@ -466,6 +466,24 @@
     assert send_syn(node, 3) == [effects.Reset]
 
 
+@pytest.mark.parametrize(('unread_s', 'is_reset'), [(0, True), (0.14, False)])
+def test_syn_that_was_unread_for_a_while(
+    monkeypatch, unread_s, is_reset
+) -> None:
+    """Guards against a reset of an old SYN after a pause too short to count.
+
+    An urgent flow takes its place while the client's copy may be on its way.
+    """
+    monkeypatch.setattr(admission, 'MIN_WAITING_FLOWS', 1)
+    node = build_node()
+    node.now += unread_s
+    send_syn(node, 1)
+    node.run(0.03)
+    found = send_syn(node, 2, port=URGENT_PORT)
+    assert found == [effects.Reset] * is_reset
+    assert count_waiting(node) == 1
+
+
 def test_flood_uses_bounded_memory(monkeypatch) -> None:
     """Guards against memory that grows with a flood of SYNs.
 
