Merge the queue of waiting SYNs

Cause: a SYN that found all queues full was reset at once, and its client had used all tries within 40 ms; urgency hardly counted.

--- a/apricottally/tagged/refusals.py
+++ b/apricottally/tagged/refusals.py
@@ -19,6 +19,8 @@
 # If the registration of a running backend expires, the backend renews it within
 # 2 s. A removal that has lasted longer is final.
 REMOVAL_CONFIRMATION_S = 2.5
+# Reasons for which a route has backends, but none that it may use.
+_EXCLUSIONS = frozenset(('evacuated', 'no_region'))
 
 
 def refuse_unknown_backend(
@@ -69,19 +71,23 @@
     of a retransmitted SYN may be open through another node, at a backend that
     was usable when the first SYN arrived there: it is dropped, not reset.
     """
-    exclusion = eligibility.explain_exclusion(state, route)
-    if exclusion and packet.acknowledged:
-        state.counters.add('dropped', exclusion)
+    reason = explain_refusal(state, route)
+    if packet.acknowledged and reason in _EXCLUSIONS:
+        state.counters.add('dropped', reason)
         return []
+    return reset_flow(state, packet, reason, now)
+
+
+def explain_refusal(state: NodeState, route: Route) -> str:
+    """Return the reason for which no backend could be selected."""
+    exclusion = eligibility.explain_exclusion(state, route)
     if exclusion:
-        return reset_flow(state, packet, exclusion, now)
+        return exclusion
     has_backends = any(
         state.catalog.list_candidates(target.service)
         for target in route.targets
     )
-    return reset_flow(
-        state, packet, 'full' if has_backends else 'no_backend', now
-    )
+    return 'full' if has_backends else 'no_backend'
 
 
 def reset_flow(
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -20,9 +20,13 @@
 from apricottally.tagged.neighbours import Neighbours
 from apricottally.tagged.occupancy import Occupancy
 from apricottally.tagged.platformreads import ReadState
+from apricottally.tagged.queueing.waiting import WaitingQueue
 from apricottally.tagged.suspicion import Suspicion
 from apricottally.tokenbucket import TokenBucket
 
+# A longer gap between ticks means that the process was not running.
+PAUSE_THRESHOLD_S = 0.15
+
 
 class NodeConfig(msgspec.Struct, frozen=True):
     """Configuration of a node, fixed at its start.
@@ -32,7 +36,8 @@
     count as stale. A watch waits up to `watch_wait_s` for changes. On shutdown
     the node exits `leave_s` after it stops being ready; it is killed `grace_s`
     after the stop request. `zone_regions` has pairs of a zone and its region.
-    Heartbeats that are not urgent are limited to
+    A SYN for which no backend has room waits up to `max_wait_s` for one; 0
+    refuses it at once. Heartbeats that are not urgent are limited to
     `heartbeat_bytes_per_s`. `strict` makes a violated invariant raise
     `InvariantError`.
     """
@@ -46,6 +51,7 @@
     watch_wait_s: float = 1.0
     leave_s: float = 1.4
     grace_s: float = 6.0
+    max_wait_s: float = 0
     heartbeat_bytes_per_s: float = 60_000
     strict: bool = False
     zone_regions: tuple[tuple[str, str], ...] = ()
@@ -73,6 +79,7 @@
         self.answer_time = AnswerTime()
         self.durations = Durations()
         self.demand = Demand()
+        self.waiting = WaitingQueue()
         self.read_state = ReadState()
         own = Peer(
             config.name,
@@ -105,6 +112,10 @@
         """Whether this node is shutting down and therefore not ready."""
         return self.stopping_since is not None
 
+    def is_paused(self, now: float) -> bool:
+        """Tell whether the process has not been running until now."""
+        return now - self.ticked_at > PAUSE_THRESHOLD_S
+
     @property
     def configuration_version(self) -> int:
         """Version of the current configuration; 0 if there is none."""
