Tell other zones the load of a zone as a sum

In a fleet of 16 nodes or more, a node hears from single nodes of other zones only, so that flows which spill over to another zone reach full backends there.

Heartbeats to other zones now carry the requests in progress that the sender's zone has placed on each full backend. Receivers forward them once within their zone. A node counts the larger of a zone's sum and its single nodes, and drops sums after 0.5 s. Heartbeats without sums are encoded without the new field, byte for byte as before.

Tests of messages, counting, forwarding and expiry pass.

--- a/apricottally/tagged/heartbeats.py
+++ b/apricottally/tagged/heartbeats.py
@@ -10,7 +10,9 @@
 from apricottally.tagged.effects import Effect, SendPeer, WriteLog
 from apricottally.tagged.events import PeerArrived
 from apricottally.tagged.messages import Delta, Heartbeat
+from apricottally.tagged.neighbours import Neighbour
 from apricottally.tagged.occupancy import NeighbourReport
+from apricottally.tagged.zoneloads import sharing
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -29,9 +31,10 @@
         _log_neighbour(state, 'neighbour_lost', name)
         for name in state.occupancy.expire_reports(now)
     ]
+    state.occupancy.expire_sums(now)
     contacts = state.neighbours.list_contacts(now, state.rng)
     if contacts:
-        effects.append(SendPeer(tuple(contacts), _build(state, now)))
+        effects.append(SendPeer(tuple(contacts), _encode(state, now)))
     if _is_due(state, now):
         effects += _send(state, now)
     return effects
@@ -70,8 +73,10 @@
             heartbeat.sender.incarnation,
             heartbeat.sequence,
             heartbeat.loads,
+            heartbeat.sender.zone,
         ),
     )
+    sharing.receive(state, heartbeat, now)
     if heartbeat.sender.zone == state.config.zone:
         state.suspicion.record_neighbour_report(heartbeat.unreachable, now)
     effects = dissemination.compare_records(
@@ -79,52 +84,63 @@
     )
     if is_new:
         endpoint = neighbour.endpoint
-        effects.append(SendPeer((endpoint,), _build(state, now)))
+        effects.append(SendPeer((endpoint,), _encode(state, now)))
         effects.append(_log_neighbour(state, 'neighbour_found', name))
     return effects
 
 
 def _send(state: NodeState, now: float) -> list[Effect]:
-    targets = _list_endpoints(state, now)
-    if not targets:
+    near, partners = _list_endpoints(state, now)
+    if not (near or partners):
         state.last_heartbeat_at = now
         return []
-    payload = _build(state, now)
-    size = len(payload) * len(targets)
+    outgoing = sharing.address(state, _build(state, now), near, partners, now)
     urgent = (
         state.heartbeat_due or now - state.last_heartbeat_at >= MAX_PERIOD_S
     )
-    if not (state.heartbeat_budget.take(now, size) or urgent):
+    if not (state.heartbeat_budget.take(now, outgoing.size) or urgent):
         return []
+    sharing.mark_sent(state, outgoing, now)
     state.last_heartbeat_at = now
     state.heartbeat_due = False
     state.occupancy.changed = False
-    return [SendPeer(tuple(targets), payload)]
+    return list(outgoing.datagrams)
 
 
-def _list_endpoints(state: NodeState, now: float) -> list[Endpoint]:
-    targets = state.gossip_targets.list_near(now)
+def _list_endpoints(
+    state: NodeState, now: float
+) -> tuple[list[Endpoint], list[Endpoint]]:
+    """Return the receivers among the near nodes and among the partners."""
+    near = state.gossip_targets.list_near(now)
+    partners: list[Neighbour] = []
     if (
         state.heartbeat_due
         or now - state.last_remote_heartbeat_at >= MIN_REMOTE_PERIOD_S
     ):
         state.last_remote_heartbeat_at = now
         state.remote_round += 1
-        targets = targets + state.gossip_targets.list_next_partners(
+        partners = state.gossip_targets.list_next_partners(
             now, state.remote_round
         )
     else:
-        targets = [
+        near = [
             neighbour
-            for neighbour in targets
+            for neighbour in near
             if neighbour.peer.zone == state.config.zone
         ]
-    return [neighbour.endpoint for neighbour in targets]
+    return (
+        [neighbour.endpoint for neighbour in near],
+        [neighbour.endpoint for neighbour in partners],
+    )
+
+
+def _encode(state: NodeState, now: float) -> bytes:
+    return messages.encode(_build(state, now))
 
 
-def _build(state: NodeState, now: float) -> bytes:
+def _build(state: NodeState, now: float) -> Heartbeat:
     state.heartbeat_sequence += 1
-    heartbeat = Heartbeat(
+    return Heartbeat(
         state.neighbours.own,
         state.heartbeat_sequence,
         state.stopping,
@@ -135,7 +151,6 @@
         state.suspicion.list_unreachable(now),
         state.neighbours.sample_alive(now, state.rng),
     )
-    return messages.encode(heartbeat)
 
 
 def _log_neighbour(state: NodeState, event: str, name: str) -> WriteLog:
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -13,6 +13,7 @@
 from apricottally.errors import WireError
 from apricottally.tagged.records import Change
 from apricottally.tagged.revisions import Revision
+from apricottally.tagged.zoneloads.wire import ZoneLoads
 
 # Avoids IP fragmentation on paths with an MTU of 1,500 bytes.
 MAX_DATAGRAM_BYTES = 1400
@@ -53,7 +54,8 @@
     configuration, 0 without one: a restored platform may have an older one at
     a higher revision. `unreachable` are the
     tags of backends that a probe did not reach. `known` is a sample of other
-    live nodes.
+    live nodes. `zone_loads` are the sums of the sender's zone, for nodes of
+    another zone, or of other zones, for nodes of its own.
     """
 
     sender: Peer
@@ -65,6 +67,7 @@
     loads: tuple[Load, ...]
     unreachable: tuple[int, ...]
     known: tuple[Peer, ...]
+    zone_loads: tuple[ZoneLoads, ...] = ()
 
 
 class Delta(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -109,7 +112,10 @@
 
 def encode(message: Message | Snapshot) -> bytes:
     """Encode a message as MessagePack."""
-    return _encoder.encode(message)
+    payload = _encoder.encode(message)
+    if isinstance(message, Heartbeat) and not message.zone_loads:
+        return _drop_empty_end(payload)
+    return payload
 
 
 def decode(payload: bytes) -> Message:
@@ -122,6 +128,14 @@
     return _decode(_snapshot_decoder, payload, 'snapshot')
 
 
+def _drop_empty_end(payload: bytes) -> bytes:
+    """Leave out an empty last element of an array of up to 15 elements.
+
+    Its absence stands for the default. The first byte has the array's length.
+    """
+    return bytes((payload[0] - 1,)) + payload[1:-1]
+
+
 def _decode(
     decoder: msgspec.msgpack.Decoder[_Decoded],
     payload: bytes,
--- a/apricottally/tagged/occupancy.py
+++ b/apricottally/tagged/occupancy.py
@@ -2,15 +2,17 @@
 
 A node infers its own counts from the packets of its clients and adds the counts
 that its neighbours, the other nodes, report. Each report of a neighbour
-replaces that neighbour's previous report.
+replaces that neighbour's previous report. Requests that other zones have placed
+are counted by `ZoneCounts`, which also knows sums of whole zones.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from apricottally.tagged.messages import Load
+from apricottally.tagged.zoneloads.counts import ZoneCounts
 
 # If a neighbour sends no report for longer, its clients have moved to other
 # nodes.
@@ -37,15 +39,21 @@
     incarnation: int
     sequence: int
     loads: tuple[Load, ...]
+    zone: str = ''
 
 
 @dataclass(slots=True)
 class Occupancy:
-    """This node's counts, and the sums of its neighbours' reports."""
+    """This node's counts, and those of all other nodes (`others`).
 
+    `zone` is this node's zone.
+    """
+
+    zone: str = ''
     own: dict[int, LoadCount] = field(default_factory=dict)
     others: dict[int, LoadCount] = field(default_factory=dict)
     reports: dict[str, NeighbourReport] = field(default_factory=dict)
+    other_zones: ZoneCounts = field(default_factory=ZoneCounts)
     # Whether this node's counts have changed since its last heartbeat.
     changed: bool = False
 
@@ -93,15 +101,15 @@
             same_incarnation = previous.incarnation == report.incarnation
             if same_incarnation and previous.sequence >= report.sequence:
                 return
-            self._add_loads(previous.loads, -1)
+            self._add_loads(previous, -1)
         self.reports[name] = report
-        self._add_loads(report.loads, 1)
+        self._add_loads(report, 1)
 
     def remove_report(self, name: str) -> None:
         """Remove a neighbour's report from the sums."""
         previous = self.reports.pop(name, None)
         if previous is not None:
-            self._add_loads(previous.loads, -1)
+            self._add_loads(previous, -1)
 
     def expire_reports(self, now: float) -> list[str]:
         """Remove the reports of silent neighbours; return their names."""
@@ -125,11 +133,42 @@
             loads.sort(key=lambda load: (-load.busy, -load.open))
         return tuple(loads[:limit])
 
-    def _add_loads(self, loads: Iterable[Load], sign: int) -> None:
-        for load in loads:
-            count = self.others.get(load.tag)
-            if count is None:
-                count = LoadCount()
-                self.others[load.tag] = count
-            count.busy += sign * load.busy
+    def list_zone_busy(self) -> list[tuple[int, int]]:
+        """Return backend tags with the requests that this zone has placed."""
+        return [
+            (tag, self.count_busy(tag) - self.other_zones.count(tag))
+            for tag in self.own.keys() | self.others.keys()
+        ]
+
+    def record_sums(
+        self, zone: str, made_at: float, sums: dict[int, int]
+    ) -> None:
+        """Replace the sums of another zone, unless the new ones are older."""
+        self._add_busy(self.other_zones.replace_sums(zone, made_at, sums))
+
+    def expire_sums(self, now: float) -> None:
+        """Remove the sums of other zones that are out of date."""
+        self._add_busy(self.other_zones.expire(now))
+
+    def _add_loads(self, report: NeighbourReport, sign: int) -> None:
+        is_near = report.zone == self.zone
+        for load in report.loads:
+            count = self._get_count_of_others(load.tag)
             count.open += sign * load.open
+            busy = sign * load.busy
+            count.busy += (
+                busy
+                if is_near
+                else self.other_zones.add_single(report.zone, load.tag, busy)
+            )
+
+    def _add_busy(self, changes: Mapping[int, int]) -> None:
+        for tag, step in changes.items():
+            self._get_count_of_others(tag).busy += step
+
+    def _get_count_of_others(self, tag: int) -> LoadCount:
+        count = self.others.get(tag)
+        if count is None:
+            count = LoadCount()
+            self.others[tag] = count
+        return count
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -21,6 +21,7 @@
 from apricottally.tagged.occupancy import Occupancy
 from apricottally.tagged.platformreads import ReadState
 from apricottally.tagged.suspicion import Suspicion
+from apricottally.tagged.zoneloads.forwarding import Forwarding
 from apricottally.tokenbucket import TokenBucket
 
 
@@ -65,7 +66,10 @@
         self.invariants = Invariants(self.counters, strict=config.strict)
         self.catalog = Catalog()
         self.freshness = Freshness(config.stale_s)
-        self.occupancy = Occupancy()
+        self.occupancy = Occupancy(config.zone)
+        self.zone_forwarding = Forwarding()
+        # When this node's zone last had a full backend.
+        self.zone_full_at = float('-inf')
         self.suspicion = Suspicion()
         self.flows = FlowTable(self.occupancy)
         self.answer_time = AnswerTime()
