Keep the turn of partners until they get a heartbeat

In a zone under load, most heartbeats are refused by the budget.

The turn now ends when the heartbeat has been sent. While a zone sends sums, the turns are 0.2 s apart in place of 0.1 s, and nodes of one zone forward sums that are 0.1 s newer than the last in place of 0.05 s.

--- a/apricottally/tagged/heartbeats.py
+++ b/apricottally/tagged/heartbeats.py
@@ -100,6 +100,9 @@
     )
     if not (state.heartbeat_budget.take(now, outgoing.size) or urgent):
         return []
+    if partners:
+        state.last_remote_heartbeat_at = now
+        state.remote_round += 1
     sharing.mark_sent(state, outgoing, now)
     state.last_heartbeat_at = now
     state.heartbeat_due = False
@@ -110,18 +113,20 @@
 def _list_endpoints(
     state: NodeState, now: float
 ) -> tuple[list[Endpoint], list[Endpoint]]:
-    """Return the receivers among the near nodes and among the partners."""
+    """Return the receivers among the near nodes and among the partners.
+
+    The turn of partners ends when they have been sent a heartbeat. Otherwise
+    a node whose heartbeats are limited by the budget would rarely reach them.
+    """
     near = state.gossip_targets.list_near(now)
     partners: list[Neighbour] = []
-    if (
-        state.heartbeat_due
-        or now - state.last_remote_heartbeat_at >= MIN_REMOTE_PERIOD_S
-    ):
-        state.last_remote_heartbeat_at = now
-        state.remote_round += 1
+    period_s = sharing.get_remote_period(state, MIN_REMOTE_PERIOD_S, now)
+    if state.heartbeat_due or now - state.last_remote_heartbeat_at >= period_s:
         partners = state.gossip_targets.list_next_partners(
-            now, state.remote_round
+            now, state.remote_round + 1
         )
+        if not partners:
+            state.last_remote_heartbeat_at = now
     else:
         near = [
             neighbour
--- a/apricottally/tagged/zoneloads/forwarding.py
+++ b/apricottally/tagged/zoneloads/forwarding.py
@@ -19,7 +19,7 @@
 
 # Sums are forwarded if they are newer by this than those that the zone's nodes
 # have. It is half of the time between two heartbeats of a node to other zones.
-MIN_STEP_S = 0.05
+MIN_STEP_S = 0.1
 LONG_AGO = float('-inf')
 
 
--- a/apricottally/tagged/zoneloads/sharing.py
+++ b/apricottally/tagged/zoneloads/sharing.py
@@ -35,6 +35,10 @@
 # A node that has just started has not heard from all nodes of its zone: their
 # heartbeats are up to 0.25 s apart, and the first one may be lost.
 WARM_UP_S = 0.5
+# Minimum time between heartbeats with sums to other zones. It is longer than
+# without sums because traffic between zones is expensive and the sums that the
+# nodes of a zone send replace one another.
+SUM_PERIOD_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +56,14 @@
         )
 
 
+def get_remote_period(state: NodeState, usual_s: float, now: float) -> float:
+    """Return the minimum time between heartbeats to other zones, in seconds.
+
+    `usual_s` is that of heartbeats without sums.
+    """
+    return SUM_PERIOD_S if _has_sums(state, now) else usual_s
+
+
 def address(
     state: NodeState,
     heartbeat: Heartbeat,
@@ -135,12 +147,16 @@
     ]
     if full:
         state.zone_full_at = now
-    elif now - state.zone_full_at > SUM_LIFETIME_S:
+    elif not _has_sums(state, now):
         return ()
     loads = pack(heapq.nlargest(max_backends, full, key=_get_busy))
     return (ZoneLoads(state.config.zone, 0, loads),)
 
 
+def _has_sums(state: NodeState, now: float) -> bool:
+    return now - state.zone_full_at <= SUM_LIFETIME_S
+
+
 def _get_slots(state: NodeState, tag: int) -> float:
     """Return a backend's slots, at least 1; infinity if it is unknown."""
     entry = state.catalog.find_by_tag(tag)
