--- a/apricottally/tagged/exposition.py
+++ b/apricottally/tagged/exposition.py
@@ -72,5 +72,6 @@
         ('records_age_seconds', state.freshness.age_ms(now) / 1000),
         ('flows', len(state.flows.by_key)),
         ('neighbours', len(alive)),
+        ('zones_with_sums', len(state.occupancy.other_zones.list_zones())),
         ('unreachable_backends', len(state.suspicion.list_unreachable(now))),
     ]
--- a/tests/test_tagged_robustness.py
+++ b/tests/test_tagged_robustness.py
@@ -229,7 +229,7 @@
     readers = {
         path.name
         for folder in ('apricottally/tagged', 'platform/fleetnode')
-        for path in (ROOT / folder).glob('*.py')
+        for path in (ROOT / folder).rglob('*.py')
         if re.search(r'\btime\.time\(|datetime|time_ns', path.read_text())
     }
     assert readers == {'jsonlog.py'}
