--- a/apricottally/tagged/exposition.py
+++ b/apricottally/tagged/exposition.py
@@ -76,6 +76,7 @@
         ('flows', len(state.flows.by_key)),
         ('waiting_flows', len(state.waiting.by_key)),
         ('neighbours', len(alive)),
+        ('zones_with_sums', len(state.occupancy.other_zones.list_zones())),
         ('unreachable_backends', len(state.suspicion.list_unreachable(now))),
         ('evacuated_zones', len(evacuated)),
         ('flows_in_evacuated_zones', count_open_flows(state, evacuated)),
