Hedge slowly answered SYNs within a share of the openings

A lost or late answer to a SYN costs its client the whole time-out of the node. The flow table counts both backends until the client opens the flow at one of them, or until the handshake time-out. The default is 0: no SYN is hedged.

--- a/apricottally/tagged/flows.py
+++ b/apricottally/tagged/flows.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from apricottally.tagged.catalogentry import Entry
+from apricottally.tagged.hedging.hedges import Hedge
 from apricottally.tagged.occupancy import Occupancy
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import Repetition, Route
@@ -32,8 +33,9 @@
     """A flow between a client and a backend.
 
     `tag` is the tag of its backend, `tried_tags` those of all backends that
-    its SYN was forwarded to, the last time at `syn_sent_at`. `seen_at` is
-    when the client's last packet arrived. `established` is set when the
+    its SYN was forwarded to, the first time at `first_sent_at`, the last time
+    at `syn_sent_at`, except for a `hedge`. `seen_at` is when the client's
+    last packet arrived. `established` is set when the
     client has completed the handshake, `busy` while a request is in progress.
     `acknowledged` is the client's highest acknowledgement number, `sent_end`
     the sequence number after its last byte, `initial_sequence` that of its
@@ -57,6 +59,13 @@
     sent_end: int = 0
     request_seen_at: float = 0
     request_packet: FlowPacket | None = None
+    first_sent_at: float = 0
+    hedge: Hedge | None = None
+
+    @property
+    def retried(self) -> bool:
+        """Whether the SYN was forwarded to another backend, hedges aside."""
+        return len(self.tried_tags) > (1 if self.hedge is None else 2)
 
 
 @dataclass(slots=True)
@@ -89,6 +98,7 @@
         flow.busy = True
         self.occupancy.add_busy(flow.tag, 1)
         self.occupancy.add_open(flow.tag, 1)
+        flow.first_sent_at = flow.syn_sent_at
         self.half_open.append(flow)
 
     def adopt(self, flow: Flow, packet: FlowPacket) -> bool:
@@ -113,8 +123,15 @@
         self._add_to_occupancy(flow, 1)
         self.half_open.append(flow)
 
+    def add_hedge(self, flow: Flow, hedge: Hedge) -> None:
+        """Count a second backend, to which the flow's SYN is forwarded."""
+        flow.hedge = hedge
+        flow.tried_tags += (hedge.tag,)
+        hedge.count(self.occupancy)
+
     def mark_established(self, flow: Flow, tag: int) -> None:
         """Set the backend with which the client has completed the handshake."""
+        self._release_hedge(flow)
         if tag != flow.tag and tag:
             self._add_to_occupancy(flow, -1)
             flow.tag = tag
@@ -145,6 +162,7 @@
         if flow.closed:
             return
         self.finish_request(flow)
+        self._release_hedge(flow)
         flow.closed = True
         flow.syn = None
         self.occupancy.add_open(flow.tag, -1)
@@ -185,6 +203,10 @@
         for key in expired:
             self.close(self.by_key.pop(key))
 
+    def _release_hedge(self, flow: Flow) -> None:
+        if flow.hedge is not None:
+            flow.hedge.release(self.occupancy)
+
     def _add_to_occupancy(self, flow: Flow, sign: int) -> None:
         if flow.busy:
             self.occupancy.add_busy(flow.tag, sign)
--- a/apricottally/tagged/flowtracking.py
+++ b/apricottally/tagged/flowtracking.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from apricottally.tagged.flows import Flow, is_after
+from apricottally.tagged.hedging import hedgedsyns
 from apricottally.tagged.packets import FIN, RST, FlowPacket
 from apricottally.tagged.records import Route
 
@@ -66,9 +67,10 @@
     tag: int,
     now: float,
 ) -> None:
-    if tag == flow.tag and len(flow.tried_tags) == 1:
+    if tag == flow.tag and not flow.retried:
         state.answer_time.add(now - flow.syn_sent_at)
         state.durations.answer.add(now - flow.syn_sent_at)
+    hedgedsyns.track_answer(state, flow, tag, now)
     state.flows.mark_established(flow, tag)
     state.suspicion.record_response(tag, now)
     flow.acknowledged = packet.acknowledged
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -31,6 +31,7 @@
     SnapshotPulled,
     Ticked,
 )
+from apricottally.tagged.hedging import hedgedsyns
 from apricottally.tagged.state import NodeState
 
 # A longer gap between ticks means that the process was not running.
@@ -52,6 +53,7 @@
     if gap > PAUSE_THRESHOLD_S:
         effects += _recover_from_pause(state, gap)
     else:
+        effects += hedgedsyns.send_due(state, now)
         effects += retrying.retry_unanswered(state, now)
         effects += probing.probe_stalled(state, now)
     if now - state.reviewed_at >= REVIEW_PERIOD_S:
@@ -76,6 +78,7 @@
     opening flows are extended by the pause.
     """
     state.suspicion.clear()
+    state.hedging.recover(state.ticked_at)
     for flow in state.flows.half_open:
         flow.syn_sent_at += gap
     state.counters.add('paused', 'tick_late')
@@ -87,6 +90,7 @@
     if configuration is None:
         return
     state.flows.purge(now, configuration.idle_timeout_ms / 1000)
+    state.hedging.purge(now)
     for tag in state.catalog.purge_removed(now):
         state.suspicion.forget(tag)
         state.occupancy.forget(tag)
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -16,6 +16,7 @@
 from apricottally.tagged.flows import FlowTable
 from apricottally.tagged.freshness import Freshness
 from apricottally.tagged.gossiptargets import GossipTargets
+from apricottally.tagged.hedging.tables import Hedging
 from apricottally.tagged.messages import Peer
 from apricottally.tagged.neighbours import Neighbours
 from apricottally.tagged.occupancy import Occupancy
@@ -32,8 +33,9 @@
     count as stale. A watch waits up to `watch_wait_s` for changes. On shutdown
     the node exits `leave_s` after it stops being ready; it is killed `grace_s`
     after the stop request. Heartbeats that are not urgent are limited to
-    `heartbeat_bytes_per_s`. `strict` makes a violated invariant raise
-    `InvariantError`.
+    `heartbeat_bytes_per_s`. At most `hedge_share` of a
+    service's openings may be hedged SYNs, 0 to 1. `strict` makes a violated
+    invariant raise `InvariantError`.
     """
 
     name: str
@@ -46,6 +48,7 @@
     leave_s: float = 1.4
     grace_s: float = 6.0
     heartbeat_bytes_per_s: float = 60_000
+    hedge_share: float = 0
     strict: bool = False
 
 
@@ -68,6 +71,7 @@
         self.occupancy = Occupancy()
         self.suspicion = Suspicion()
         self.flows = FlowTable(self.occupancy)
+        self.hedging = Hedging(config.hedge_share)
         self.answer_time = AnswerTime()
         self.durations = Durations()
         self.demand = Demand()
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -12,6 +12,7 @@
 from apricottally.tagged.effects import Effect, Forward
 from apricottally.tagged.events import PacketArrived
 from apricottally.tagged.flows import Flow
+from apricottally.tagged.hedging import hedgedsyns
 from apricottally.tagged.packets import ACK, SYN, FlowPacket
 from apricottally.tagged.records import Repetition, Route
 
@@ -42,18 +43,18 @@
     if entry is None or entry.backend is None:
         return refusals.refuse_overloaded(state, packet, route, now)
     backend = entry.backend
-    state.flows.insert(
-        Flow(
-            packet.key,
-            backend.tag,
-            route,
-            now,
-            now,
-            syn=packet,
-            tried_tags=(backend.tag,),
-            initial_sequence=packet.sequence,
-        ),
+    flow = Flow(
+        packet.key,
+        backend.tag,
+        route,
+        now,
+        now,
+        syn=packet,
+        tried_tags=(backend.tag,),
+        initial_sequence=packet.sequence,
     )
+    state.flows.insert(flow)
+    hedgedsyns.track_opening(state, flow, backend.service, now)
     state.counters.add('chosen', route.name)
     return [
         Forward(backend, packet.raw, backend.tag),
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -347,6 +347,25 @@
     assert found.node.seeds == (('10.1.0.10', 7720),)
     assert found.node.stale_s + found.node.watch_wait_s < 3
     assert found.node.leave_s < 6
+    assert found.node.hedge_share == 0
+
+
+@pytest.mark.parametrize(
+    ('percent', 'share'),
+    [('0', 0), ('2.5', 0.025), ('100', 1), ('101', None), ('-1', None)]
+    + [(text, None) for text in ('nan', 'inf', '', '5%')],
+)
+def test_hedge_percent(tmp_path, monkeypatch, percent, share) -> None:
+    """A faulty share must not start a node that hedges without a limit."""
+    path = tmp_path / 'node.toml'
+    path.write_text(SETTINGS)
+    monkeypatch.setenv(settings.SETTINGS_PATH_VARIABLE, str(path))
+    monkeypatch.setenv(settings.HEDGE_PERCENT_VARIABLE, percent)
+    if share is None:
+        with pytest.raises(ExceptionGroup, match='settings'):
+            settings.load_settings()
+    else:
+        assert settings.load_settings().node.hedge_share == share
 
 
 @pytest.mark.parametrize(
--- a/tests/test_platform_page.py
+++ b/tests/test_platform_page.py
@@ -14,7 +14,7 @@
 CODE = ''.join(
     path.read_text()
     for folder in ('apricottally/tagged', 'platform/fleetnode')
-    for path in sorted((ROOT / folder).glob('*.py'))
+    for path in sorted((ROOT / folder).rglob('*.py'))
 )
 COUNTERS = set(re.findall(r"counters\.add\(\s*'(\w+)'", CODE)) | {
     'invariant_broken'
