--- a/apricottally/tagged/hedging/tables.py
+++ b/apricottally/tagged/hedging/tables.py
@@ -37,7 +37,8 @@
 
     `pending` has the services with waiting flows, `hedged` the flows with a
     second backend, oldest hedge first, until the handshake time-out. Answers
-    to SYNs from before `measurable_since` are not measured.
+    to SYNs from before `measurable_since`, when this process last paused, are
+    not measured.
     """
 
     share: float
@@ -67,16 +68,6 @@
             if hedge is not None:
                 hedge.release(occupancy)
 
-    def recover(self, now: float) -> None:
-        """Hedge no earlier SYN after a pause of this process.
-
-        Their answers may have arrived during the pause.
-        """
-        self.measurable_since = now
-        for found in self.pending.values():
-            found.waiting.clear()
-        self.pending.clear()
-
     def purge(self, now: float) -> None:
         """Remove services without recent openings."""
         expired = [
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -78,7 +78,7 @@
     opening flows are extended by the pause.
     """
     state.suspicion.clear()
-    state.hedging.recover(state.ticked_at)
+    state.hedging.measurable_since = state.ticked_at
     for flow in state.flows.half_open:
         flow.syn_sent_at += gap
     state.counters.add('paused', 'tick_late')
