Merge hedged SYNs for slow answers

Cause: a SYN whose answer is late costs its client the whole time-out, though routes whose requests may be repeated could ask a second backend.

--- a/apricottally/tagged/openings.py
+++ b/apricottally/tagged/openings.py
@@ -8,6 +8,7 @@
 from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import Effect, Forward, WriteLog
 from apricottally.tagged.flows import Flow
+from apricottally.tagged.hedging import hedgedsyns
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import Route
 
@@ -31,18 +32,18 @@
     backend = entry.backend
     if backend is None:
         return []
-    state.flows.insert(
-        Flow(
-            packet.key,
-            backend.tag,
-            route,
-            now,
-            now,
-            syn=packet,
-            tried_tags=(backend.tag,),
-            initial_sequence=packet.sequence,
-        ),
+    flow = Flow(
+        packet.key,
+        backend.tag,
+        route,
+        now,
+        now,
+        syn=packet,
+        tried_tags=(backend.tag,),
+        initial_sequence=packet.sequence,
     )
+    state.flows.insert(flow)
+    hedgedsyns.track_opening(state, flow, backend.service, now)
     state.counters.add('chosen', route.name)
     log = refusals.build_selection_log(state, 'chosen', packet, entry, now)
     if waited_s is not None:
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -31,6 +31,7 @@
     SnapshotPulled,
     Ticked,
 )
+from apricottally.tagged.hedging import hedgedsyns
 from apricottally.tagged.places import transitions
 from apricottally.tagged.queueing import admission
 from apricottally.tagged.state import NodeState
@@ -53,6 +54,7 @@
     if paused:
         effects += _recover_from_pause(state, gap)
     else:
+        effects += hedgedsyns.send_due(state, now)
         effects += retrying.retry_unanswered(state, now)
         effects += probing.probe_stalled(state, now)
         effects += admission.tick(state, now)
@@ -79,6 +81,7 @@
     opening flows are extended by the pause.
     """
     state.suspicion.clear()
+    state.hedging.measurable_since = state.ticked_at
     for flow in state.flows.half_open:
         flow.syn_sent_at += gap
     admission.recover_from_pause(state, state.ticked_at)
@@ -91,6 +94,7 @@
     if configuration is None:
         return
     state.flows.purge(now, configuration.idle_timeout_ms / 1000)
+    state.hedging.purge(now)
     for tag in state.catalog.purge_removed(now):
         state.suspicion.forget(tag)
         state.occupancy.forget(tag)
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -16,6 +16,7 @@
 from apricottally.tagged.flows import FlowTable
 from apricottally.tagged.freshness import Freshness
 from apricottally.tagged.gossiptargets import GossipTargets
+from apricottally.tagged.hedging.tables import Hedging
 from apricottally.tagged.messages import Peer
 from apricottally.tagged.neighbours import Neighbours
 from apricottally.tagged.occupancy import Occupancy
@@ -39,7 +40,8 @@
     after the stop request. `zone_regions` has pairs of a zone and its region.
     A SYN for which no backend has room waits up to `max_wait_s` for one; 0
     refuses it at once. Heartbeats that are not urgent are limited to
-    `heartbeat_bytes_per_s`. `strict` makes a violated invariant raise
+    `heartbeat_bytes_per_s`. At most `hedge_share` of a service's openings may
+    be hedged SYNs, 0 to 1. `strict` makes a violated invariant raise
     `InvariantError`.
     """
 
@@ -54,6 +56,7 @@
     grace_s: float = 6.0
     max_wait_s: float = 0
     heartbeat_bytes_per_s: float = 60_000
+    hedge_share: float = 0
     strict: bool = False
     zone_regions: tuple[tuple[str, str], ...] = ()
 
@@ -80,6 +83,7 @@
         self.zone_full_at = float('-inf')
         self.suspicion = Suspicion()
         self.flows = FlowTable(self.occupancy)
+        self.hedging = Hedging(config.hedge_share)
         self.answer_time = AnswerTime()
         self.durations = Durations()
         self.demand = Demand()
