Order waiting SYNs over routes with the same backends only

Cause: routes with the same services but other limits to their backends would share a lane, and the first flow without room would hold up the others. Change: lanes are kept by services and regions of the route; the regions are empty until routes have them. A test covers lanes that share a service.

--- a/apricottally/tagged/queueing/admission.py
+++ b/apricottally/tagged/queueing/admission.py
@@ -18,6 +18,7 @@
 from apricottally.tagged.queueing.lane import Lane, Rank
 from apricottally.tagged.queueing.waiting import MAX_WAITING_FLOWS
 from apricottally.tagged.queueing.waitingflow import (
+    Scope,
     WaitingFlow,
     estimate_start,
 )
@@ -26,7 +27,7 @@
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
 
-# So many flows of a set of services may wait at any rate of admission. The rate
+# So many flows of a scope may wait at any rate of admission. The rate
 # is 0 after the start and after a second in which no backend had room.
 MIN_WAITING_FLOWS = 16
 # On shutdown, the last waits end this long before the process does, so that
@@ -52,7 +53,7 @@
         # The client has abandoned the flow and uses its port again.
         queue.remove(known)
     flow = _build_flow(state, packet, route, now)
-    lanes = queue.list_lanes(flow.services)
+    lanes = queue.list_lanes(flow.scope[0])
     if any(lane.is_blocked_for(route.priority) for lane in lanes):
         selection.count_demand(state, route, packet.key, now)
         return _hold(state, flow, now)
@@ -215,7 +216,7 @@
     flow = WaitingFlow(
         packet,
         route,
-        _list_services(route),
+        _get_scope(route),
         next(queue.numbers),
         started_at,
         queued_at=now,
@@ -228,9 +229,10 @@
     return flow
 
 
-def _list_services(route: Route) -> tuple[str, ...]:
+def _get_scope(route: Route) -> Scope:
     names = {target.service for target in route.targets if target.weight > 0}
-    return tuple(sorted(names))
+    regions: tuple[str, ...] = getattr(route, 'regions', ())
+    return tuple(sorted(names)), tuple(sorted(regions))
 
 
 def _get_stop_time(state: NodeState) -> float:
@@ -251,7 +253,7 @@
     if lane.blocked_priority is None:
         lane.blocked_priority = flow.route.priority
     lane.blocked_priority = min(lane.blocked_priority, flow.route.priority)
-    rate = queue.admitted.count(flow.services)
+    rate = queue.admitted.count(flow.scope)
     too_many = lane.size > _get_capacity(rate, state.config.max_wait_s)
     if lane.count_before(flow) >= _get_capacity(rate, flow.deadline - now):
         refused: WaitingFlow | None = flow
@@ -287,7 +289,7 @@
         return 'queue_full'
     has_usable = any(
         not entry.excludes_new_flows(now)
-        for service in flow.services
+        for service in flow.scope[0]
         for entry in state.catalog.list_candidates(service)
     )
     return '' if has_usable else 'no_backend'
@@ -322,7 +324,7 @@
             'flow': refusals.format_flow(flow.packet),
             'position': lane.count_before(flow) + lane.count_class(flow),
             'waiting': len(queue.by_key),
-            'admitted_per_s': queue.admitted.count(flow.services),
+            'admitted_per_s': queue.admitted.count(flow.scope),
             'caller_admitted': queue.callers.count(flow.packet.client),
         },
     )
--- a/apricottally/tagged/queueing/lane.py
+++ b/apricottally/tagged/queueing/lane.py
@@ -1,4 +1,4 @@
-"""Waiting flows of the routes that have the same services."""
+"""Waiting flows of the routes that have the same backends."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from apricottally.tagged.queueing.callerorder import CallerOrder
 from apricottally.tagged.queueing.slidingcounts import SlidingCounts
-from apricottally.tagged.queueing.waitingflow import WaitingFlow
+from apricottally.tagged.queueing.waitingflow import Scope, WaitingFlow
 
 # Priority of the route, whether the flow is late, flows of the caller admitted
 # recently, and number of the flow. The lowest rank is admitted first.
@@ -14,7 +14,7 @@
 
 
 class Lane:
-    """The waiting flows of one set of services, in the order of admission.
+    """The waiting flows of one scope, in the order of admission.
 
     `blocked_priority` is the priority of the flow for which no backend had
     room at the last attempt, None if an attempt is due. Less urgent flows need
@@ -22,14 +22,14 @@
     for them.
     """
 
-    __slots__ = ('_admitted', '_orders', 'blocked_priority', 'services', 'size')
+    __slots__ = ('_admitted', '_orders', 'blocked_priority', 'scope', 'size')
 
     def __init__(
         self,
-        services: tuple[str, ...],
+        scope: Scope,
         admitted: SlidingCounts[int],
     ) -> None:
-        self.services = services
+        self.scope = scope
         self.size = 0
         self.blocked_priority: int | None = None
         self._admitted = admitted
--- a/apricottally/tagged/queueing/waiting.py
+++ b/apricottally/tagged/queueing/waiting.py
@@ -9,7 +9,7 @@
 from apricottally.tagged.queueing.lane import Lane
 from apricottally.tagged.queueing.runtimes import RunTimes
 from apricottally.tagged.queueing.slidingcounts import SlidingCounts
-from apricottally.tagged.queueing.waitingflow import WaitingFlow
+from apricottally.tagged.queueing.waitingflow import Scope, WaitingFlow
 
 # Maximum number of waiting flows; one takes about 1 KB.
 MAX_WAITING_FLOWS = 4096
@@ -27,18 +27,18 @@
 class WaitingQueue:
     """All waiting flows of a node, and what it has admitted recently.
 
-    `admitted` has the flows admitted by the services of their route, `callers`
-    those by client address. SYNs that arrive before `backlog_until` may have
+    `admitted` has the flows admitted by their scope, `callers` those by client
+    address. SYNs that arrive before `backlog_until` may have
     been unread during a pause of the process.
     """
 
     def __init__(self) -> None:
         self.by_key: dict[bytes, WaitingFlow] = {}
-        self.lanes: dict[tuple[str, ...], Lane] = {}
+        self.lanes: dict[Scope, Lane] = {}
         self.callers: SlidingCounts[int] = SlidingCounts(
             CALLER_WINDOW_S, MAX_CALLERS
         )
-        self.admitted: SlidingCounts[tuple[str, ...]] = SlidingCounts(
+        self.admitted: SlidingCounts[Scope] = SlidingCounts(
             RATE_WINDOW_S, MAX_RATE_RECORDS
         )
         self.run_times = RunTimes()
@@ -50,11 +50,11 @@
 
     def add(self, flow: WaitingFlow) -> Lane:
         """Add a flow; return its lane."""
-        lane = self.lanes.get(flow.services)
+        lane = self.lanes.get(flow.scope)
         if lane is None:
-            lane = Lane(flow.services, self.callers)
-            self.lanes[flow.services] = lane
-            for service in flow.services:
+            lane = Lane(flow.scope, self.callers)
+            self.lanes[flow.scope] = lane
+            for service in flow.scope[0]:
                 self._by_service.setdefault(service, []).append(lane)
         self.by_key[flow.packet.key] = flow
         lane.add(flow)
@@ -64,12 +64,12 @@
     def remove(self, flow: WaitingFlow) -> None:
         """Remove a waiting flow; a lane without flows is removed, too."""
         self.by_key.pop(flow.packet.key)
-        lane = self.lanes[flow.services]
+        lane = self.lanes[flow.scope]
         lane.remove(flow)
         if lane.size:
             return
-        self.lanes.pop(flow.services)
-        for service in flow.services:
+        self.lanes.pop(flow.scope)
+        for service in flow.scope[0]:
             lanes = self._by_service[service]
             lanes.remove(lane)
             if not lanes:
@@ -85,7 +85,7 @@
     def list_lanes(self, services: Iterable[str]) -> list[Lane]:
         """Return the lanes that have one of the services."""
         found = {
-            lane.services: lane
+            lane.scope: lane
             for service in services
             for lane in self._by_service.get(service, ())
         }
@@ -94,7 +94,7 @@
     def record_admission(self, flow: WaitingFlow, now: float) -> None:
         """Count a flow that was forwarded, with or without a wait."""
         caller = flow.packet.client
-        self.admitted.record(flow.services, now)
+        self.admitted.record(flow.scope, now)
         self.callers.record(caller, now)
         self._update_caller(caller)
 
@@ -129,7 +129,7 @@
             lane.update(caller)
 
     def _mark_late(self, flow: WaitingFlow) -> None:
-        lane = self.lanes[flow.services]
+        lane = self.lanes[flow.scope]
         # The lane keeps its place in the tables, although it may be empty
         # between the two calls.
         lane.remove(flow)
--- a/apricottally/tagged/queueing/waitingflow.py
+++ b/apricottally/tagged/queueing/waitingflow.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TypeAlias
 
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import Route
@@ -14,22 +15,26 @@
 # meet a copy that may open the flow through another node.
 COPY_MARGIN_S = 0.05
 
+# Sorted services of a route, and the regions that its flows are limited to. Two
+# flows with the same scope may go to the same backends.
+Scope: TypeAlias = tuple[tuple[str, ...], tuple[str, ...]]
+
 
 @dataclass(slots=True, eq=False)
 class WaitingFlow:
     """A flow that waits for a backend; times are monotonic seconds.
 
-    `packet` is the newest copy of its SYN and `services` the sorted services
-    of its route. The client sent its SYN at `started_at` at the earliest; the
-    flow is in the queue since `queued_at`. From `late_at` on it cannot meet
-    its route's latency target, and it waits until `deadline`. `number` rises
-    with each flow. Bit N of `copies` is set if copy N has arrived. If
-    `is_backlog` is set, the SYN may have been unread for long.
+    `packet` is the newest copy of its SYN. The client sent its SYN at
+    `started_at` at the earliest; the flow is in the queue since `queued_at`.
+    From `late_at` on it cannot meet its route's latency target, and it waits
+    until `deadline`. `number` rises with each flow. Bit N of `copies` is set
+    if copy N has arrived. If `is_backlog` is set, the SYN may have been unread
+    for long.
     """
 
     packet: FlowPacket
     route: Route
-    services: tuple[str, ...]
+    scope: Scope
     number: int
     started_at: float
     queued_at: float
--- a/tests/test_tagged_queueing.py
+++ b/tests/test_tagged_queueing.py
@@ -12,7 +12,11 @@
 from apricottally.tagged.queueing.lane import Lane
 from apricottally.tagged.queueing.slidingcounts import SlidingCounts
 from apricottally.tagged.queueing.waitingflow import WaitingFlow
-from apricottally.tagged.records import Repetition
+from apricottally.tagged.records import (
+    ConfigurationChange,
+    Repetition,
+    Target,
+)
 from tests.taggednode import (
     FEED_PORT,
     TICK_S,
@@ -20,6 +24,7 @@
     build_backend,
     build_configuration,
     build_route,
+    rev,
 )
 
 URGENT_PORT = 9000
@@ -133,7 +138,7 @@
     """Guards against a reset that meets a copy on its way to another node."""
     packet = build_node().send(1, packets.SYN)
     route = build_route(FEED_PORT, Repetition.once)
-    flow = WaitingFlow(packet, route, (), 1, 100, 100, 101, 102)
+    flow = WaitingFlow(packet, route, ((), ()), 1, 100, 100, 101, 102)
     flow.copies = copies
     assert flow.may_reset(100 + age_s) is is_reset
     flow.is_backlog = True
@@ -311,7 +316,7 @@
     """Guards against an order that differs from the described one."""
     rng = random.Random(3)
     counts = SlidingCounts(5, 100)
-    lane = Lane(('core',), counts)
+    lane = Lane((('core',), ()), counts)
     flows = []
     node = build_node()
     for number in range(3000):
@@ -330,7 +335,7 @@
         packet = next(reversed(node.state.waiting.by_key.values())).packet
         priority = rng.randrange(3)
         route = build_route(1, Repetition.once, priority=priority)
-        flow = WaitingFlow(packet, route, (), number, 0, 0, 0, 0)
+        flow = WaitingFlow(packet, route, ((), ()), number, 0, 0, 0, 0)
         flow.is_late = rng.random() < 0.5
         flows.append(flow)
         lane.add(flow)
@@ -356,7 +361,7 @@
     """Guards against clients that wait for nothing behind a long queue."""
     node = build_node()
     for _ in range(rate):
-        node.state.waiting.admitted.record(('core',), node.now)
+        node.state.waiting.admitted.record((('core',), ()), node.now)
     outcomes = [send_syn(node, number, client=number) for number in range(130)]
     assert outcomes == [[]] * served + [[effects.Reset]] * (130 - served)
     send_syn(node, 500, port=URGENT_PORT)
@@ -382,6 +387,26 @@
     assert list_ports(node, node.run(2 * TICK_S)) == [1]
 
 
+@pytest.mark.parametrize('urgent_first', [True, False])
+def test_order_over_routes_with_common_service(urgent_first) -> None:
+    """Guards against a less urgent flow of a split route that goes first."""
+    node = build_node()
+    both = (Target('core', 1), Target('other', 1))
+    split = build_route(9001, Repetition.once, priority=2, targets=both)
+    urgent = build_route(URGENT_PORT, Repetition.once, priority=0)
+    change = ConfigurationChange(
+        rev(20), build_configuration(2, (urgent, split))
+    )
+    node.apply_changes(20, change)
+    for number in (0, 1):
+        port = URGENT_PORT if (number == 0) is urgent_first else 9001
+        send_syn(node, number, port=port)
+    assert len(node.state.waiting.lanes) == 2
+    set_busy(node, 2)
+    assert list_ports(node, node.run(TICK_S)) == [0 if urgent_first else 1]
+    assert count_waiting(node) == 1
+
+
 def test_end_of_request_admits_next() -> None:
     """Guards against a slot that stays free until the next tick."""
     node = build_node(busy=0)
@@ -504,7 +529,7 @@
     assert count_waiting(node) == 400
     assert len(queue.callers) <= 550
     assert len(queue._timers) <= 2 * 400 + 65
-    for order in queue.lanes['core',]._orders.values():
+    for order in queue.lanes[('core',), ()]._orders.values():
         assert len(order._first) + len(order._last) <= 4 * 400 + 130
 
 
