Decode the cold start of services

Cause: the configuration states how many new flows a second a backend of a service can take after its start; nodes ignored it.

--- a/apricottally/tagged/records.py
+++ b/apricottally/tagged/records.py
@@ -72,12 +72,25 @@
     latency_ms: int
 
 
+class Service(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """How the backends of a service start.
+
+    For `cold_start_ms` after its start, a backend can take `cold_per_s` new
+    flows a second; 0 means that no rate is stated.
+    """
+
+    name: str
+    cold_start_ms: int
+    cold_per_s: float
+
+
 class Configuration(msgspec.Struct, frozen=True, array_like=True):
-    """All routes, and the time after which an idle flow is dropped."""
+    """All routes and services; idle flows are dropped after a time."""
 
     version: int
     routes: tuple[Route, ...]
     idle_timeout_ms: int
+    services: tuple[Service, ...] = ()
 
 
 class BackendChange(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -16,6 +16,7 @@
     BackendChange,
     ConfigurationChange,
     Repetition,
+    Service,
 )
 from tests.asyncruns import run
 from tests.fakestore import open_fake_store
@@ -172,6 +173,33 @@
     assert [target.weight for target in found.targets] == [90, 10]
 
 
+@pytest.mark.parametrize(
+    ('services', 'decoded'),
+    [
+        (
+            [{'name': 'x', 'cold-start-s': 8, 'cold-per-s': 2.5, 'slots': 3}],
+            (Service('x', 8000, 2.5),),
+        ),
+        ([{'name': 'x'}], (Service('x', 0, 0),)),
+        ([{'name': 'x', 'cold-per-s': 'few'}, {'name': 'y'}], None),
+        ([{'cold-per-s': 2}, 7, None, {'name': 'y'}], None),
+        ([{'name': 'x', 'cold-per-s': 1e300}, {'name': 'y'}], None),
+        ({'x': {'cold-per-s': 2}}, ()),
+        (None, ()),
+    ],
+)
+def test_services_of_configuration(services, decoded) -> None:
+    """A malformed service must not make the configuration unreadable."""
+    config = {'version': 7, 'routes': [], 'services': services}
+    change = records.decode_item(
+        records.Item('op/config', 8, encode(config)), 1
+    )
+    assert isinstance(change, ConfigurationChange)
+    if decoded is None:
+        decoded = (Service('y', 0, 0),)
+    assert change.configuration.services == decoded
+
+
 def test_list_over_pages() -> None:
     """A list must not end after its first page."""
 
