Limit new flows to cold backends over all nodes

Cause: a backend that has just started got as many new flows as any other; its service states how many a second it can take. Change: quotas splits a rate into permits, each held by one node of the backend's zone; selection, retries and the last fallback of a repeated SYN need one for a cold backend. Permits are rounded down and held by the next node on the ring of heartbeats; a node cut off from the majority of its zone uses none.

--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from apricottally.effects import LogValue
-from apricottally.tagged import messages, recordlogs
+from apricottally.tagged import coldstart, messages, recordlogs
 from apricottally.tagged.effects import (
     Effect,
     PullSnapshot,
@@ -216,6 +216,7 @@
         state.durations.in_force.add(now - state.freshness.confirmed_at)
     for change in changes:
         _clear_suspicion_on_restart(state, change)
+        coldstart.observe_change(state, change, now)
     applied: list[Change] = []
     logs: list[Effect] = []
     for change in changes:
--- a/apricottally/tagged/probing.py
+++ b/apricottally/tagged/probing.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from apricottally.effects import LogValue
-from apricottally.tagged import refusals
+from apricottally.tagged import coldstart, refusals
 from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import Effect, ProbeBackend, WriteLog
 from apricottally.tagged.events import ProbeEnded
@@ -49,6 +49,7 @@
         return []
     if not state.suspicion.record_failed_probe(tag, event.requested_at, now):
         return []
+    coldstart.record_unreachable(state, tag, now)
     fields: dict[str, LogValue] = {
         'tag': tag,
         'version': state.configuration_version,
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from apricottally.tagged import (
+    coldreview,
     dissemination,
     heartbeats,
     platformreads,
@@ -59,6 +60,7 @@
         state.flows.expire_silent_requests(now)
         state.suspicion.review(state.catalog.entries(), now)
         effects += platformreads.tick(state, now)
+        effects += coldreview.review(state, now)
     if now - state.purged_at >= PURGE_PERIOD_S:
         state.purged_at = now
         _purge(state, now)
@@ -90,6 +92,7 @@
     for tag in state.catalog.purge_removed(now):
         state.suspicion.forget(tag)
         state.occupancy.forget(tag)
+    coldreview.purge(state, now)
 
 
 _HANDLERS: dict[type, Callable[[NodeState, Any], list[Effect]]] = {
--- a/apricottally/tagged/refusals.py
+++ b/apricottally/tagged/refusals.py
@@ -6,6 +6,7 @@
 
 from apricottally.addresses import format_ip
 from apricottally.effects import LogValue
+from apricottally.tagged import coldstart
 from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import Effect, Reset, WriteLog
 from apricottally.tagged.packets import RST, FlowPacket
@@ -63,13 +64,14 @@
     now: float,
 ) -> list[Effect]:
     """Refuse a new flow for which no backend could be selected."""
-    has_backends = any(
-        state.catalog.list_candidates(target.service)
-        for target in route.targets
-    )
-    return reset_flow(
-        state, packet, 'full' if has_backends else 'no_backend', now
-    )
+    services = [target.service for target in route.targets]
+    if not any(map(state.catalog.list_candidates, services)):
+        reason = 'no_backend'
+    elif coldstart.are_all_limited(state, services, now):
+        reason = 'cold'
+    else:
+        reason = 'full'
+    return reset_flow(state, packet, reason, now)
 
 
 def reset_flow(
--- a/apricottally/tagged/retrying.py
+++ b/apricottally/tagged/retrying.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally.tagged import probing, refusals, selection
+from apricottally.tagged import coldstart, probing, refusals, selection
 from apricottally.tagged.effects import Effect, Forward
 from apricottally.tagged.flows import Flow
 
@@ -59,6 +59,8 @@
     entry = state.catalog.find_by_tag(flow.tag)
     if entry is None or entry.backend is None or flow.syn is None:
         return []
+    if not coldstart.take_permit(state, entry, now):
+        return []
     return [Forward(entry.backend, flow.syn.raw, flow.tag)]
 
 
--- a/apricottally/tagged/selection.py
+++ b/apricottally/tagged/selection.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, TypeAlias
 
+from apricottally.tagged import coldstart
 from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.records import Backend, Route
 
@@ -45,14 +46,15 @@
     """Return the least loaded backend that may take the flow.
 
     Backends that the flow has already tried rank last, suspected backends
-    just before them. Returns None if no backend is known or if the queue of
-    every backend is full.
+    just before them. Returns None if no backend is known, or if every backend
+    has a full queue or is cold and lacks a permit. The caller has to forward
+    one SYN to the backend, as a permit is used for it.
     """
     for service in order_services(route, key):
         state.demand.count_request(service, route.priority, now)
         limit = _get_queue_limit(state, route, service)
         found = _select_from_service(state, service, now, tried_tags, limit)
-        if found is not None:
+        if found is not None and coldstart.take_permit(state, found, now):
             return found
     return None
 
@@ -123,7 +125,7 @@
     ranked: list[tuple[_Rank, Entry]] = []
     for entry in entries:
         backend = entry.backend
-        if backend is None or entry.excludes_new_flows(now):
+        if backend is None or not _is_eligible(state, entry, now):
             continue
         busy = state.occupancy.count_busy(backend.tag)
         if busy >= backend.slots + limit:
@@ -135,6 +137,12 @@
     return min(ranked, key=_get_rank)[1] if ranked else None
 
 
+def _is_eligible(state: NodeState, entry: Entry, now: float) -> bool:
+    if entry.excludes_new_flows(now):
+        return False
+    return coldstart.is_available(state, entry, now)
+
+
 def _get_rank(ranked: tuple[_Rank, Entry]) -> _Rank:
     return ranked[0]
 
--- a/apricottally/tagged/state.py
+++ b/apricottally/tagged/state.py
@@ -11,6 +11,7 @@
 from apricottally.invariants import Invariants
 from apricottally.tagged.answertime import AnswerTime
 from apricottally.tagged.catalog import Catalog
+from apricottally.tagged.coldstart import create_cold_starts
 from apricottally.tagged.demand import Demand
 from apricottally.tagged.durations import Durations
 from apricottally.tagged.flows import FlowTable
@@ -80,6 +81,9 @@
             rng.getrandbits(32),
         )
         self.neighbours = Neighbours(own, config.seeds)
+        self.cold_starts = create_cold_starts(
+            config.name, config.zone, (own.ip, own.port), config.seeds
+        )
         self.gossip_targets = GossipTargets(self.neighbours)
         self.heartbeat_budget = TokenBucket(
             config.heartbeat_bytes_per_s, config.heartbeat_bytes_per_s
--- a/tests/taggedfleet.py
+++ b/tests/taggedfleet.py
@@ -5,6 +5,7 @@
 restored from an older copy.
 """
 
+import collections
 import copy
 import heapq
 import itertools
@@ -12,7 +13,7 @@
 
 import msgspec
 
-from apricottally.tagged import dissemination, effects, events
+from apricottally.tagged import dissemination, effects, events, packets
 from apricottally.tagged.records import BackendChange, ConfigurationChange
 from apricottally.tagged.reducer import reduce
 from apricottally.tagged.revisions import Revision
@@ -21,6 +22,7 @@
     TICK_S,
     build_backend,
     build_configuration,
+    build_packet,
     build_request,
 )
 
@@ -73,8 +75,8 @@
         self.current[name] = change
         self.revision = change.revision
 
-    def put_configuration(self, version: int) -> None:
-        configuration = build_configuration(version)
+    def put_configuration(self, version: int, services=()) -> None:
+        configuration = build_configuration(version, services=services)
         self.put('', ConfigurationChange(self._next(), configuration))
 
     def put_backend(self, index: int, *, present: bool, **changes) -> None:
@@ -124,6 +126,28 @@
     return msgspec.structs.replace(change, revision=Revision(epoch, number))
 
 
+class ForwardCounts:
+    """SYNs that all nodes have forwarded, by the tag of their backend.
+
+    `worst` is the highest count of one backend in any sliding second.
+    """
+
+    def __init__(self) -> None:
+        self.total = 0
+        self.worst = 0
+        self._recent: dict[int, collections.deque[float]] = {}
+
+    def count(self, effect, now: float) -> None:
+        if not isinstance(effect, effects.Forward) or effect.tag is None:
+            return
+        recent = self._recent.setdefault(effect.tag, collections.deque())
+        while recent and now - recent[0] >= 1:
+            recent.popleft()
+        recent.append(now)
+        self.total += 1
+        self.worst = max(self.worst, len(recent))
+
+
 class Fleet:
     """Nodes, the datagrams between them, and their calls to the platform.
 
@@ -142,6 +166,9 @@
         self.nodes: dict[str, NodeState] = {}
         self.refused: set[str] = set()
         self.frozen: set[str] = set()
+        # Datagrams between these nodes and the others are lost.
+        self.cut_off: set[str] = set()
+        self.forwarded = ForwardCounts()
         self._queue: list = []
         self._event_ids = itertools.count()
         self._node_count = nodes
@@ -178,12 +205,18 @@
             for name in sorted(self.nodes):
                 self._submit(name, events.Ticked(self.now))
 
+    def send_syn(self, name: str, client_port: int) -> None:
+        """Deliver the first packet of a new flow to a node."""
+        packet = build_packet(client_port, packets.SYN)
+        self._submit(name, events.PacketArrived(self.now, packet))
+
     def _submit(self, name: str, event) -> None:
         state = self.nodes.get(name)
         if state is None or name in self.frozen:
             return
         before = state.configuration_version
         for effect in reduce(state, event):
+            self.forwarded.count(effect, self.now)
             self._apply_effect(name, effect)
         assert state.configuration_version >= before
 
@@ -204,6 +237,8 @@
         if self.rng.random() < self.loss:
             return
         target = 'n' + dest[0].rpartition('.')[2]
+        if (name in self.cut_off) != (target in self.cut_off):
+            return
         source = ('10.1.0.' + name[1:], PORT)
         delay = self.rng.uniform(0.0005, 0.03)
         self._schedule(delay, self._receive, target, source, payload)
--- a/tests/taggednode.py
+++ b/tests/taggednode.py
@@ -13,6 +13,7 @@
     ConfigurationChange,
     Repetition,
     Route,
+    Service,
     Target,
 )
 from apricottally.tagged.reducer import reduce
@@ -58,16 +59,35 @@
     return Route(**(defaults | changes))
 
 
+def build_packet(client_port: int, flags: int, **fields) -> FlowPacket:
+    port = fields.pop('port', FEED_PORT)
+    defaults = {
+        'key': client_port.to_bytes(4, 'big') + port.to_bytes(2, 'big'),
+        'client': CLIENT,
+        'client_port': client_port,
+        'address': ADDRESS,
+        'port': port,
+        'flags': flags,
+        'sequence': 0,
+        'acknowledged': 0,
+        'length': 0,
+        'tag': 0,
+        'raw': b'',
+    }
+    return FlowPacket(**(defaults | fields))
+
+
 def build_configuration(
     version: int = 1,
     extra: tuple[Route, ...] = (),
+    services: tuple[Service, ...] = (),
 ) -> Configuration:
     routes = (
         build_route(FEED_PORT, Repetition.idempotent),
         build_route(ORDER_PORT, Repetition.once),
         *extra,
     )
-    return Configuration(version, routes, 15_000)
+    return Configuration(version, routes, 15_000, services)
 
 
 def rev(number: int, epoch: int = 1) -> Revision:
@@ -138,21 +158,7 @@
         self.state.freshness.confirm(self.now, self.now)
 
     def send(self, client_port: int, flags: int, **fields):
-        port = fields.pop('port', FEED_PORT)
-        defaults = {
-            'key': client_port.to_bytes(4, 'big') + port.to_bytes(2, 'big'),
-            'client': CLIENT,
-            'client_port': client_port,
-            'address': ADDRESS,
-            'port': port,
-            'flags': flags,
-            'sequence': 0,
-            'acknowledged': 0,
-            'length': 0,
-            'tag': 0,
-            'raw': b'',
-        }
-        packet = FlowPacket(**(defaults | fields))
+        packet = build_packet(client_port, flags, **fields)
         return self.submit(events.PacketArrived(self.now, packet))
 
     def open_flow(self, client_port: int, **fields) -> int:
