--- a/apricottally/tagged/coldstart.py
+++ b/apricottally/tagged/coldstart.py
@@ -169,6 +169,8 @@
     state: NodeState, services: Iterable[str], now: float
 ) -> bool:
     """Tell whether every backend of the services is cold and lacks a permit."""
+    if not state.cold_starts.list_limited(state.catalog.configuration):
+        return False
     entries = [
         entry
         for service in services
--- a/apricottally/tagged/neighbours.py
+++ b/apricottally/tagged/neighbours.py
@@ -37,7 +37,8 @@
     """Another node and the state from its latest heartbeat.
 
     `heard_at` is when its last heartbeat arrived, `mentioned_at` when a
-    heartbeat, its own or another node's, last mentioned it.
+    heartbeat, its own or another node's, last mentioned it. `hears_us_at` is
+    when its heartbeat last listed this process as alive.
     """
 
     peer: Peer
@@ -47,6 +48,7 @@
     leaving: bool = False
     revision: Revision = NO_REVISION
     version: int = 0
+    hears_us_at: float = LONG_AGO
 
     @property
     def endpoint(self) -> Endpoint:
@@ -92,6 +94,8 @@
             neighbour.leaving = heartbeat.leaving
             neighbour.revision = heartbeat.revision
             neighbour.version = heartbeat.version
+        if self.own in heartbeat.known:
+            neighbour.hears_us_at = now
         for peer in heartbeat.known:
             self._mention(peer, now)
         return neighbour, is_new
--- a/apricottally/tagged/quotas/membership.py
+++ b/apricottally/tagged/quotas/membership.py
@@ -32,17 +32,25 @@
 # After a longer pause the others may have forgotten this node. It is below
 # FORGET_TIMEOUT_S by the time for which mentions of it may have been delayed.
 MAX_REMEMBERED_PAUSE_S = 15.0
+# A heartbeat lists 4 of the up to 24 nodes that its sender hears, and a node
+# sends 4 a second. A node that has not listed this one for so long does not
+# hear it.
+MAX_CONFIRMATION_AGE_S = 10.0
 # Of two nodes in a zone, neither is a majority: the whole fleet counts instead.
 MIN_ZONE_ELECTORATE = 3
 
 
 @dataclass(slots=True)
 class _Sighting:
-    """Another node, with the last times when it was mentioned and heard."""
+    """Another node, with the last times when it was mentioned and heard.
+
+    `hears_us_at` is when it last said that it hears this node.
+    """
 
     zone: str
     mentioned_at: float
     heard_at: float
+    hears_us_at: float
 
 
 @dataclass(slots=True)
@@ -76,12 +84,16 @@
         self._detect_pause(now)
         for neighbour in neighbours:
             self.known[neighbour.peer.name] = _Sighting(
-                neighbour.peer.zone, neighbour.mentioned_at, neighbour.heard_at
+                neighbour.peer.zone,
+                neighbour.mentioned_at,
+                neighbour.heard_at,
+                neighbour.hears_us_at,
             )
         zone = self._list_zone()
         electorate = self._list_electorate(zone)
         has_majority = self._has_majority(electorate, now)
-        if not has_majority or self._may_be_unknown(zone, now):
+        is_safe = has_majority and not self._may_be_unknown(zone, now)
+        if not is_safe or not self._is_heard(zone, electorate, now):
             self._wait(now, CHANGE_DELAY_S)
         self._update_arc(zone, now)
         if has_majority or len(zone) + 1 >= MIN_ZONE_ELECTORATE:
@@ -134,6 +146,22 @@
         )
         return 2 * heard > len(electorate) + 1
 
+    def _is_heard(
+        self, zone: list[str], electorate: list[str], now: float
+    ) -> bool:
+        """Tell whether most nodes of the electorate hear this node.
+
+        They would forget it if its own heartbeats alone were lost. In a large
+        zone, the nodes that hear this one do not send to it.
+        """
+        if len(zone) > MAX_ZONE_MESH_NODES:
+            return True
+        oldest = max(self.heard_since, now - MAX_CONFIRMATION_AGE_S)
+        confirmed = 1 + sum(
+            self.known[name].hears_us_at >= oldest for name in electorate
+        )
+        return 2 * confirmed > len(electorate) + 1
+
     def _may_be_unknown(self, zone: list[str], now: float) -> bool:
         """Tell whether a node of the zone may not know this one yet.
 
--- a/tests/taggedfleet.py
+++ b/tests/taggedfleet.py
@@ -168,6 +168,8 @@
         self.frozen: set[str] = set()
         # Datagrams between these nodes and the others are lost.
         self.cut_off: set[str] = set()
+        # All datagrams that these nodes send are lost.
+        self.muted: set[str] = set()
         self.forwarded = ForwardCounts()
         self._queue: list = []
         self._event_ids = itertools.count()
@@ -234,7 +236,7 @@
             self._schedule(0.004, self._answer_pull, name, effect, self.now)
 
     def _send(self, name: str, dest, payload: bytes) -> None:
-        if self.rng.random() < self.loss:
+        if self.rng.random() < self.loss or name in self.muted:
             return
         target = 'n' + dest[0].rpartition('.')[2]
         if (name in self.cut_off) != (target in self.cut_off):
--- a/tests/test_tagged_quotas.py
+++ b/tests/test_tagged_quotas.py
@@ -75,6 +75,8 @@
     def __init__(self, others: int, *, has_seeds: bool = True) -> None:
         self.membership = Membership('n0', 'a', has_seeds=has_seeds)
         self.now = 50.0
+        # How many of the nodes that are heard say that they hear this one.
+        self.hearers = others
         self.neighbours = [
             Neighbour(Peer(f'n{index + 1}', 'a', '10.1.0.1', 1, 1), self.now)
             for index in range(others)
@@ -87,6 +89,8 @@
             for neighbour in self.neighbours[:heard]:
                 neighbour.heard_at = self.now
                 neighbour.mentioned_at = self.now
+            for neighbour in self.neighbours[: min(heard, self.hearers)]:
+                neighbour.hears_us_at = self.now
             self.membership.review(self.neighbours, self.now)
         return self.membership.get_usable_arc(self.now) is not None
 
@@ -118,6 +122,18 @@
     assert found[-1] is usable
 
 
+@pytest.mark.parametrize(('seconds', 'usable'), [(9, True), (13, False)])
+def test_node_that_is_not_heard(seconds, usable) -> None:
+    """Guards against a node whose own heartbeats are lost.
+
+    It hears all others, but they forget it and use its permits.
+    """
+    zone = Zone(4)
+    assert zone.run(3, 4)
+    zone.hearers = 1
+    assert zone.run(seconds, 4) is usable
+
+
 @pytest.mark.parametrize(
     ('has_seeds', 'usable'), [(True, False), (False, True)]
 )
@@ -211,6 +227,14 @@
     load(fleet, 4)
 
 
+def lose_sent(fleet: Fleet) -> None:
+    """Nodes hear the others, but what they send is lost; n0 is a seed."""
+    fleet.muted = {'n0', *fleet.rng.sample(sorted(fleet.nodes), 5)}
+    load(fleet, 36)
+    fleet.muted = set()
+    load(fleet, 4)
+
+
 def split_views(fleet: Fleet) -> None:
     """Nodes join slowly while a third of all datagrams are lost."""
     fleet.loss = 0.35
@@ -230,6 +254,7 @@
     'restarted': restart_all,
     'zone_cut': cut_zone,
     'random_cut': cut_random,
+    'sent_lost': lose_sent,
     'views': split_views,
 }
 
