Count the zone by what its nodes remember for permits

Change: heartbeats carry how many nodes of its zone the sender remembers; a majority is counted of the largest number among the nodes that are heard.

--- a/apricottally/tagged/heartbeats.py
+++ b/apricottally/tagged/heartbeats.py
@@ -134,6 +134,7 @@
         state.occupancy.list_loads(MAX_LOADS),
         state.suspicion.list_unreachable(now),
         state.neighbours.sample_alive(now, state.rng),
+        state.cold_starts.membership.zone_size,
     )
     return messages.encode(heartbeat)
 
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -53,7 +53,8 @@
     configuration, 0 without one: a restored platform may have an older one at
     a higher revision. `unreachable` are the
     tags of backends that a probe did not reach. `known` is a sample of other
-    live nodes.
+    live nodes. `zone_size` is the number of nodes of its zone that the sender
+    remembers, itself included; 0 if it limits no rates.
     """
 
     sender: Peer
@@ -65,6 +66,7 @@
     loads: tuple[Load, ...]
     unreachable: tuple[int, ...]
     known: tuple[Peer, ...]
+    zone_size: int = 0
 
 
 class Delta(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/apricottally/tagged/neighbours.py
+++ b/apricottally/tagged/neighbours.py
@@ -49,6 +49,7 @@
     revision: Revision = NO_REVISION
     version: int = 0
     hears_us_at: float = LONG_AGO
+    zone_size: int = 0
 
     @property
     def endpoint(self) -> Endpoint:
@@ -94,6 +95,7 @@
             neighbour.leaving = heartbeat.leaving
             neighbour.revision = heartbeat.revision
             neighbour.version = heartbeat.version
+            neighbour.zone_size = heartbeat.zone_size
         if self.own in heartbeat.known:
             neighbour.hears_us_at = now
         for peer in heartbeat.known:
--- a/apricottally/tagged/quotas/membership.py
+++ b/apricottally/tagged/quotas/membership.py
@@ -44,13 +44,15 @@
 class _Sighting:
     """Another node, with the last times when it was mentioned and heard.
 
-    `hears_us_at` is when it last said that it hears this node.
+    `hears_us_at` is when it last said that it hears this node, `zone_size` how
+    many nodes of its zone it remembers.
     """
 
     zone: str
     mentioned_at: float
     heard_at: float
     hears_us_at: float
+    zone_size: int
 
 
 @dataclass(slots=True)
@@ -61,6 +63,7 @@
     is dropped after `FORGET_TIMEOUT_S`, but only while most of the zone is
     heard. `has_seeds` is set if this node should know others. Heartbeats
     before `heard_since` do not prove that their senders know this node.
+    `zone_size` is the number of known nodes of the zone, including this one.
     """
 
     name: str
@@ -72,6 +75,7 @@
     reviewed_at: float = LONG_AGO
     settled_at: float = LONG_AGO
     arc: Arc | None = None
+    zone_size: int = 0
 
     def get_usable_arc(self, now: float) -> Arc | None:
         """Return this node's arc, or None while it may use no permit."""
@@ -88,15 +92,17 @@
                 neighbour.mentioned_at,
                 neighbour.heard_at,
                 neighbour.hears_us_at,
+                neighbour.zone_size,
             )
         zone = self._list_zone()
-        electorate = self._list_electorate(zone)
-        has_majority = self._has_majority(electorate, now)
+        self.zone_size = len(zone) + 1
+        electorate, size = self._list_electorate(zone, now)
+        has_majority = self._has_majority(electorate, size, now)
         is_safe = has_majority and not self._may_be_unknown(zone, now)
-        if not is_safe or not self._is_heard(zone, electorate, now):
+        if not is_safe or not self._is_heard(electorate, size, now):
             self._wait(now, CHANGE_DELAY_S)
         self._update_arc(zone, now)
-        if has_majority or len(zone) + 1 >= MIN_ZONE_ELECTORATE:
+        if has_majority or self.zone_size >= MIN_ZONE_ELECTORATE:
             self._forget_silent(now, has_majority=has_majority)
 
     def _detect_pause(self, now: float) -> None:
@@ -123,16 +129,29 @@
             ],
         )
 
-    def _list_electorate(self, zone: list[str]) -> list[str]:
-        """Return the nodes of which a majority has to be heard.
+    def _list_electorate(
+        self, zone: list[str], now: float
+    ) -> tuple[list[str], int]:
+        """Return nodes of which a majority has to be heard, and their number.
 
         In a large zone these are the nodes whose heartbeats this node gets.
+        The number includes this node, and nodes that only others remember:
+        this one may have started while it was cut off from them.
         """
-        if len(zone) + 1 < MIN_ZONE_ELECTORATE:
-            return list(self.known)
-        return zone[:MAX_ZONE_MESH_NODES]
-
-    def _has_majority(self, electorate: list[str], now: float) -> bool:
+        sizes = [
+            self.known[name].zone_size
+            for name in zone
+            if now - self.known[name].heard_at < ALIVE_TIMEOUT_S
+        ]
+        size = max([self.zone_size, *sizes])
+        if size < MIN_ZONE_ELECTORATE:
+            return list(self.known), len(self.known) + 1
+        size = min(size, MAX_ZONE_MESH_NODES + 1)
+        return zone[:MAX_ZONE_MESH_NODES], size
+
+    def _has_majority(
+        self, electorate: list[str], size: int, now: float
+    ) -> bool:
         """Tell whether this node hears most nodes of the electorate.
 
         Itself counts. A node that knows nobody although it has seeds may be
@@ -144,23 +163,21 @@
             now - self.known[name].heard_at < ALIVE_TIMEOUT_S
             for name in electorate
         )
-        return 2 * heard > len(electorate) + 1
+        return 2 * heard > size
 
-    def _is_heard(
-        self, zone: list[str], electorate: list[str], now: float
-    ) -> bool:
+    def _is_heard(self, electorate: list[str], size: int, now: float) -> bool:
         """Tell whether most nodes of the electorate hear this node.
 
         They would forget it if its own heartbeats alone were lost. In a large
         zone, the nodes that hear this one do not send to it.
         """
-        if len(zone) > MAX_ZONE_MESH_NODES:
+        if self.zone_size > MAX_ZONE_MESH_NODES + 1:
             return True
         oldest = max(self.heard_since, now - MAX_CONFIRMATION_AGE_S)
         confirmed = 1 + sum(
             self.known[name].hears_us_at >= oldest for name in electorate
         )
-        return 2 * confirmed > len(electorate) + 1
+        return 2 * confirmed > size
 
     def _may_be_unknown(self, zone: list[str], now: float) -> bool:
         """Tell whether a node of the zone may not know this one yet.
--- a/tests/test_tagged_quotas.py
+++ b/tests/test_tagged_quotas.py
@@ -220,6 +220,17 @@
     cut_group(fleet, set(fleet.rng.sample(sorted(fleet.nodes), 20)))
 
 
+def restart_in_minority(fleet: Fleet) -> None:
+    """Nodes of the smaller part restart and hear nothing of the larger."""
+    group = fleet.rng.sample(sorted(fleet.nodes), 20)
+    fleet.cut_off = set(group)
+    load(fleet, 3)
+    for name in group[:10]:
+        fleet.kill(name)
+        fleet.start(name)
+    load(fleet, 8)
+
+
 def cut_group(fleet: Fleet, group: set[str]) -> None:
     fleet.cut_off = group
     load(fleet, 34)
@@ -254,6 +265,7 @@
     'restarted': restart_all,
     'zone_cut': cut_zone,
     'random_cut': cut_random,
+    'minority_restarted': restart_in_minority,
     'sent_lost': lose_sent,
     'views': split_views,
 }
