--- a/apricottally/tagged/queueing/admission.py
+++ b/apricottally/tagged/queueing/admission.py
@@ -282,7 +282,7 @@
     state: NodeState, flow: WaitingFlow, now: float
 ) -> str:
     """Return why a flow cannot be served by waiting, '' if it can."""
-    reason = refusals.explain_refusal(state, flow.route)
+    reason = refusals.explain_refusal(state, flow.route, now)
     if reason not in _PASSING_REASONS:
         return reason
     if flow.deadline <= now:
--- a/apricottally/tagged/refusals.py
+++ b/apricottally/tagged/refusals.py
@@ -6,6 +6,7 @@
 
 from apricottally.addresses import format_ip
 from apricottally.effects import LogValue
+from apricottally.tagged import coldstart
 from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import Effect, Reset, WriteLog
 from apricottally.tagged.packets import RST, FlowPacket
@@ -71,23 +72,24 @@
     of a retransmitted SYN may be open through another node, at a backend that
     was usable when the first SYN arrived there: it is dropped, not reset.
     """
-    reason = explain_refusal(state, route)
+    reason = explain_refusal(state, route, now)
     if packet.acknowledged and reason in _EXCLUSIONS:
         state.counters.add('dropped', reason)
         return []
     return reset_flow(state, packet, reason, now)
 
 
-def explain_refusal(state: NodeState, route: Route) -> str:
+def explain_refusal(state: NodeState, route: Route, now: float) -> str:
     """Return the reason for which no backend could be selected."""
     exclusion = eligibility.explain_exclusion(state, route)
     if exclusion:
         return exclusion
-    has_backends = any(
-        state.catalog.list_candidates(target.service)
-        for target in route.targets
-    )
-    return 'full' if has_backends else 'no_backend'
+    services = [target.service for target in route.targets]
+    if not any(map(state.catalog.list_candidates, services)):
+        return 'no_backend'
+    if coldstart.are_all_limited(state, services, now):
+        return 'cold'
+    return 'full'
 
 
 def reset_flow(
--- a/apricottally/tagged/retrying.py
+++ b/apricottally/tagged/retrying.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally.tagged import probing, refusals, selection
+from apricottally.tagged import coldstart, probing, refusals, selection
 from apricottally.tagged.effects import Effect, Forward
 from apricottally.tagged.flows import Flow
 from apricottally.tagged.places import eligibility
@@ -70,7 +70,10 @@
     entry = state.catalog.find_by_tag(flow.tag)
     if entry is None or entry.backend is None or flow.syn is None:
         return []
-    if not eligibility.is_eligible(state, flow.route, entry, now):
+    if not (
+        eligibility.is_eligible(state, flow.route, entry, now)
+        and coldstart.take_permit(state, entry, now)
+    ):
         state.counters.add('retry_skipped', 'client_copy')
         return []
     return [Forward(entry.backend, flow.syn.raw, flow.tag)]
--- a/tests/taggedfleet.py
+++ b/tests/taggedfleet.py
@@ -5,6 +5,7 @@
 restored from an older copy.
 """
 
+import collections
 import copy
 import heapq
 import itertools
@@ -79,8 +80,8 @@
         self.current[name] = change
         self.revision = change.revision
 
-    def put_configuration(self, version: int) -> None:
-        configuration = build_configuration(version)
+    def put_configuration(self, version: int, services=()) -> None:
+        configuration = build_configuration(version, services=services)
         self.put('', ConfigurationChange(self._next(), configuration))
 
     def put_backend(self, index: int, *, present: bool, **changes) -> None:
@@ -152,6 +153,28 @@
     return msgspec.structs.replace(change, revision=Revision(epoch, number))
 
 
+class ForwardCounts:
+    """SYNs that all nodes have forwarded, by the tag of their backend.
+
+    `worst` is the highest count of one backend in any sliding second.
+    """
+
+    def __init__(self) -> None:
+        self.total = 0
+        self.worst = 0
+        self._recent: dict[int, collections.deque[float]] = {}
+
+    def count(self, effect, now: float) -> None:
+        if effect.tag is None:
+            return
+        recent = self._recent.setdefault(effect.tag, collections.deque())
+        while recent and now - recent[0] >= 1:
+            recent.popleft()
+        recent.append(now)
+        self.total += 1
+        self.worst = max(self.worst, len(recent))
+
+
 class Fleet:
     """Nodes, the datagrams between them, and their calls to the platform.
 
@@ -172,7 +195,12 @@
         self.refused: set[str] = set()
         self.frozen: set[str] = set()
         self.cut = ''
+        # Datagrams between these nodes and the others are lost.
+        self.cut_off: set[str] = set()
+        # All datagrams that these nodes send are lost.
+        self.muted: set[str] = set()
         self.forwarded: list = []
+        self.forward_counts = ForwardCounts()
         self._queue: list = []
         self._event_ids = itertools.count()
         self._node_count = nodes
@@ -213,10 +241,16 @@
     def open_flows(self) -> None:
         """Send the first packet of a new flow to each node."""
         for name in sorted(self.nodes):
-            packet = build_packet(next(self._client_ports), SYN)
-            self._submit(name, events.PacketArrived(self.now, packet))
+            self.send_syn(name, next(self._client_ports))
+
+    def send_syn(self, name: str, client_port: int) -> None:
+        """Deliver the first packet of a new flow to a node."""
+        packet = build_packet(client_port, SYN)
+        self._submit(name, events.PacketArrived(self.now, packet))
 
     def _is_reached(self, name: str, target: str) -> bool:
+        if (name in self.cut_off) != (target in self.cut_off):
+            return False
         zones = self._get_zone(name), self._get_zone(target)
         return zones[0] == zones[1] or self.cut not in zones
 
@@ -234,6 +268,7 @@
         for effect in reduce(state, event):
             if isinstance(effect, effects.Forward):
                 self.forwarded.append((name, effect.backend))
+                self.forward_counts.count(effect, self.now)
             self._apply_effect(name, effect)
         assert state.configuration_version >= before
 
@@ -252,7 +287,9 @@
 
     def _send(self, name: str, dest, payload: bytes) -> None:
         target = 'n' + dest[0].rpartition('.')[2]
-        if self.rng.random() < self.loss or not self._is_reached(name, target):
+        if self.rng.random() < self.loss or name in self.muted:
+            return
+        if not self._is_reached(name, target):
             return
         source = ('10.1.0.' + name[1:], PORT)
         delay = self.rng.uniform(0.0005, 0.03)
--- a/tests/taggednode.py
+++ b/tests/taggednode.py
@@ -13,6 +13,7 @@
     ConfigurationChange,
     Repetition,
     Route,
+    Service,
     Target,
 )
 from apricottally.tagged.reducer import reduce
@@ -61,13 +62,14 @@
 def build_configuration(
     version: int = 1,
     extra: tuple[Route, ...] = (),
+    services: tuple[Service, ...] = (),
 ) -> Configuration:
     routes = (
         build_route(FEED_PORT, Repetition.idempotent),
         build_route(ORDER_PORT, Repetition.once),
         *extra,
     )
-    return Configuration(version, routes, 15_000)
+    return Configuration(version, routes, 15_000, services)
 
 
 def build_packet(client_port: int, flags: int, **fields) -> FlowPacket:
