--- a/tests/taggednode.py
+++ b/tests/taggednode.py
@@ -5,6 +5,7 @@
 
 from apricottally.tagged import effects, events, packets
 from apricottally.tagged.messages import SnapshotRequest
+from apricottally.tagged.nodeconfig import NodeConfig
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import (
     Backend,
@@ -18,7 +19,7 @@
 )
 from apricottally.tagged.reducer import reduce
 from apricottally.tagged.revisions import Revision
-from apricottally.tagged.state import NodeConfig, NodeState
+from apricottally.tagged.state import NodeState
 
 ADDRESS = 0xC6120001
 FEED_PORT = 8443
--- a/tests/test_tagged_robustness.py
+++ b/tests/test_tagged_robustness.py
@@ -22,9 +22,10 @@
 from apricottally.tagged.messages import Delta, Heartbeat, Peer, decode, encode
 from apricottally.tagged.networkcalls import RecordBatch
 from apricottally.tagged.node import Node, open_node
+from apricottally.tagged.nodeconfig import NodeConfig
 from apricottally.tagged.records import BackendChange, ConfigurationChange
 from apricottally.tagged.revisions import NO_REVISION
-from apricottally.tagged.state import NodeConfig, NodeState
+from apricottally.tagged.state import NodeState
 from tests.asyncruns import run, wait_until
 from tests.taggednode import (
     ADDRESS,
