Refuse late flows in an overload that lasts

Change: a flow counts as late after a third of the time that its latency target leaves, since a client has three tries and a node cannot tell them apart. Once flows that are not late have waited for 0.5 s without interruption, late flows are refused at once, so that their client can be served by another try. The test of bounded memory switches this off, as it checks the exact bound of a full queue.

--- a/apricottally/tagged/queueing/admission.py
+++ b/apricottally/tagged/queueing/admission.py
@@ -31,6 +31,9 @@
 # So many flows of a scope may wait at any rate of admission. The rate
 # is 0 after the start and after a second in which no backend had room.
 MIN_WAITING_FLOWS = 16
+# A client tries a request up to so many times, each time on a new flow that a
+# node cannot tell from a first one. All of them have to meet the latency target.
+CLIENT_TRIES = 3
 # On shutdown, the last waits end this long before the process does, so that
 # several ticks are left for them.
 STOP_MARGIN_S = 0.05
@@ -213,7 +216,8 @@
     if route.latency_ms:
         run_s = queue.run_times.get_mean_s(route.name)
         needed_s = state.answer_time.mean_s + run_s
-        late_at = started_at + route.latency_ms / 1000 - needed_s
+        spare_s = max(route.latency_ms / 1000 - needed_s, 0)
+        late_at = started_at + spare_s / CLIENT_TRIES
     flow = WaitingFlow(
         packet,
         route,
--- a/apricottally/tagged/queueing/lane.py
+++ b/apricottally/tagged/queueing/lane.py
@@ -13,6 +13,11 @@
 Rank: TypeAlias = tuple[int, bool, int, int]
 
 
+# Flows that are late are refused once the others have waited for this long
+# without interruption: about a third of what a client waits for an answer.
+OVERLOAD_S = 0.5
+
+
 class Lane:
     """The waiting flows of one scope, in the order of admission.
 
@@ -22,7 +27,14 @@
     for them.
     """
 
-    __slots__ = ('_admitted', '_orders', 'blocked_priority', 'scope', 'size')
+    __slots__ = (
+        '_admitted',
+        '_orders',
+        'blocked_priority',
+        'on_time_since',
+        'scope',
+        'size',
+    )
 
     def __init__(
         self,
@@ -32,6 +44,8 @@
         self.scope = scope
         self.size = 0
         self.blocked_priority: int | None = None
+        # Since when flows that are not late have waited without interruption.
+        self.on_time_since: float | None = None
         self._admitted = admitted
         # By priority and lateness; orders without flows are removed.
         self._orders: dict[tuple[int, bool], CallerOrder] = {}
@@ -65,6 +79,22 @@
         for order in self._orders.values():
             order.update(caller)
 
+    def review(self, now: float) -> None:
+        """Note whether flows that are not late still wait."""
+        if all(is_late for _, is_late in self._orders):
+            self.on_time_since = None
+        elif self.on_time_since is None:
+            self.on_time_since = now
+
+    def is_outpaced(self, now: float) -> bool:
+        """Tell whether late flows have no prospect of being served.
+
+        They come after all others, which have kept the backends busy for a
+        while.
+        """
+        since = self.on_time_since
+        return since is not None and now - since >= OVERLOAD_S
+
     def get_first(self) -> WaitingFlow | None:
         """Return the flow to admit next, None if the lane is empty."""
         if not self._orders:
--- a/apricottally/tagged/queueing/waiting.py
+++ b/apricottally/tagged/queueing/waiting.py
@@ -99,16 +99,22 @@
         self._update_caller(caller)
 
     def advance(self, now: float) -> list[WaitingFlow]:
-        """Advance the time; remove and return flows whose wait is over."""
+        """Advance the time; remove and return flows whose wait is over.
+
+        In an overload that lasts, the wait of a flow is over when it is late.
+        """
         self.admitted.expire(now)
         for caller in self.callers.expire(now):
             self._update_caller(caller)
+        for lane in self.lanes.values():
+            lane.review(now)
         expired: list[WaitingFlow] = []
         while self._timers and self._timers[0][0] <= now:
             flow = heapq.heappop(self._timers)[2]
             if self.by_key.get(flow.packet.key) is not flow:
                 continue
-            if now >= flow.deadline:
+            is_outpaced = self.lanes[flow.scope].is_outpaced(now)
+            if now >= flow.deadline or is_outpaced:
                 self.remove(flow)
                 expired.append(flow)
             else:
--- a/tests/test_tagged_queueing.py
+++ b/tests/test_tagged_queueing.py
@@ -8,7 +8,7 @@
 
 from apricottally.effects import Exit
 from apricottally.tagged import effects, events, packets, selection
-from apricottally.tagged.queueing import admission
+from apricottally.tagged.queueing import admission, lane
 from apricottally.tagged.queueing.lane import Lane
 from apricottally.tagged.queueing.slidingcounts import SlidingCounts
 from apricottally.tagged.queueing.waitingflow import WaitingFlow
@@ -434,6 +434,37 @@
     assert list_ports(node, node.run(TICK_S)) == [2]
 
 
+@pytest.mark.parametrize(
+    ('overload_s', 'outcome'),
+    [(0.2, effects.Forward), (1.0, effects.Reset)],
+)
+def test_late_flow_in_overload(overload_s, outcome) -> None:
+    """Guards against waits that make all of a client's tries late.
+
+    In an overload that lasts, newer flows take each place, and a client that is
+    refused at once can still be served in time by another try. After a short
+    one, the late flow is served.
+    """
+    node = build_node()
+    found = []
+    for number in range(round(overload_s / TICK_S)):
+        send_syn(node, number, client=number)
+        found = node.run(TICK_S)
+    send_syn(node, 9999, client=9999)
+    found += node.run(0.1)
+    assert (effects.Reset in list_outcomes(found)) is (overload_s >= 1)
+    set_busy(node, -FULL)
+    found += node.run(TICK_S)
+    ends = [
+        effect
+        for effect in found
+        if isinstance(effect, effects.WriteLog)
+        and ':9999>' in str(effect.fields.get('flow'))
+    ]
+    kinds = {'chosen': effects.Forward, 'refused': effects.Reset}
+    assert kinds[ends[-1].event] is outcome
+
+
 def test_waiting_does_not_count_as_demand() -> None:
     """Guards against attempts in each tick that make a rare class active."""
     node = build_node()
@@ -516,6 +547,8 @@
     """
     monkeypatch.setattr(admission, 'MAX_WAITING_FLOWS', 400)
     monkeypatch.setattr(admission, 'MIN_WAITING_FLOWS', 10_000)
+    # No flow leaves the queue for being late, so that it stays full.
+    monkeypatch.setattr(lane, 'OVERLOAD_S', 60)
     node = build_node()
     queue = node.state.waiting
     queue.callers = SlidingCounts(5, 500)
