--- a/apricottally/tagged/queueing/admission.py
+++ b/apricottally/tagged/queueing/admission.py
@@ -31,8 +31,8 @@
 # So many flows of a scope may wait at any rate of admission. The rate
 # is 0 after the start and after a second in which no backend had room.
 MIN_WAITING_FLOWS = 16
-# A client tries a request up to so many times, each time on a new flow that a
-# node cannot tell from a first one. All of them have to meet the latency target.
+# Maximum number of tries of a client, each on a new flow that a node cannot
+# tell from a first one. All of them have to meet the latency target.
 CLIENT_TRIES = 3
 # On shutdown, the last waits end this long before the process does, so that
 # several ticks are left for them.
