Mend what a first reader of the change stumbled on

Cause: a reading of the whole change by someone new to it: the reason cold did not respect a route's regions; a hedge counted its flow as demand again and tested only a part of what makes a backend cold; a flow whose wait was over was refused as queue_full; docstrings about probes, starts and windows were unclear. Change: these faults, docstrings and a few names.

--- a/apricottally/tagged/coldstart.py
+++ b/apricottally/tagged/coldstart.py
@@ -14,6 +14,7 @@
 from apricottally.addresses import Endpoint
 from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import WriteLog
+from apricottally.tagged.places import eligibility
 from apricottally.tagged.quotas.membership import Membership
 from apricottally.tagged.quotas.permits import Permits
 from apricottally.tagged.records import (
@@ -21,6 +22,7 @@
     BackendChange,
     Change,
     Configuration,
+    Route,
     Service,
 )
 from apricottally.tagged.revisions import NO_REVISION
@@ -40,7 +42,7 @@
     """A start of a backend: when this node noticed it, and its Unix time.
 
     `is_certain` is set if the node has seen an earlier start. Otherwise the
-    start may lie back for long.
+    start may have been long ago.
     """
 
     noticed_at: float
@@ -165,16 +167,15 @@
     return service
 
 
-def are_all_limited(
-    state: NodeState, services: Iterable[str], now: float
-) -> bool:
-    """Tell whether every backend of the services is cold and lacks a permit."""
+def are_all_limited(state: NodeState, route: Route, now: float) -> bool:
+    """Tell whether every backend of a route is cold and lacks a permit."""
     if not state.cold_starts.list_limited(state.catalog.configuration):
         return False
     entries = [
         entry
-        for service in services
-        for entry in state.catalog.list_candidates(service)
+        for target in route.targets
+        if target.weight > 0
+        for entry in eligibility.list_eligible(state, route, target.service)
         if not entry.excludes_new_flows(now)
     ]
     if not entries:
@@ -190,10 +191,12 @@
 
 
 def observe_change(state: NodeState, change: Change, now: float) -> None:
-    """Record the start of a backend that a change shows; call it before.
+    """Record the start of a backend that a change shows.
 
-    Of the records that a node reads at its start, only the remaining cold time
-    counts: all backends of a service may have started together long ago.
+    Call it before the catalog applies the change, as it compares it with the
+    known record. Backends in a node's first records do not count as just
+    started, since all of a service may have started together long ago: only
+    the remaining time in their records counts.
     """
     if not isinstance(change, BackendChange) or change.backend is None:
         return
--- a/apricottally/tagged/hedging/capacity.py
+++ b/apricottally/tagged/hedging/capacity.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from apricottally.tagged import selection
+from apricottally.tagged import coldstart, selection
 from apricottally.tagged.flows import Flow
 from apricottally.tagged.records import Backend
 
@@ -44,11 +44,14 @@
     It is the one that a retry would select, unless that is of another
     service, was already tried, is suspect, cold or has no free slot.
     """
+    # A permit taken for a cold backend stays unused, which keeps the limit.
     entry = selection.select_backend(
-        state, flow.route, flow.key, now, flow.tried_tags
+        state, flow.route, flow.key, now, flow.tried_tags, is_repeated=True
     )
     if entry is None or entry.backend is None or now < entry.cold_until:
         return None
+    if coldstart.find_limit(state, entry, now) is not None:
+        return None
     backend = entry.backend
     if backend.service != service or backend.tag in flow.tried_tags:
         return None
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -132,9 +132,11 @@
 
 
 def _drop_empty_end(payload: bytes) -> bytes:
-    """Leave out an empty last element of an array of up to 15 elements.
+    """Leave out the last element of a heartbeat, an empty `zone_loads`.
 
-    Its absence stands for the default. The first byte has the array's length.
+    An idle fleet then sends what it sent without that field. A MessagePack
+    array of up to 15 elements begins with 0x90 plus its length, and an empty
+    one is a single byte.
     """
     return bytes((payload[0] - 1,)) + payload[1:-1]
 
--- a/apricottally/tagged/nodeconfig.py
+++ b/apricottally/tagged/nodeconfig.py
@@ -18,8 +18,8 @@
     A SYN for which no backend has room waits up to `max_wait_s` for one; 0
     refuses it at once. Heartbeats that are not urgent are limited to
     `heartbeat_bytes_per_s`. At most `hedge_share` of a service's openings may
-    be hedged SYNs, 0 to 1. `strict` makes a violated invariant raise
-    `InvariantError`.
+    be hedged SYNs, 0 to 1; steady demand uses half of it. `strict` makes a
+    violated invariant raise `InvariantError`.
     """
 
     name: str
--- a/apricottally/tagged/probing.py
+++ b/apricottally/tagged/probing.py
@@ -54,7 +54,7 @@
     if not event.conclusive:
         state.counters.add('probe', 'inconclusive')
         return []
-    if event.refused and state.suspicion.record_refusal(
+    if event.refused and state.suspicion.record_connection_refused(
         tag, event.requested_at, now
     ):
         state.counters.add('probe', 'refused')
--- a/apricottally/tagged/queueing/admission.py
+++ b/apricottally/tagged/queueing/admission.py
@@ -32,7 +32,7 @@
 # is 0 after the start and after a second in which no backend had room.
 MIN_WAITING_FLOWS = 16
 # Maximum number of tries of a client, each on a new flow that a node cannot
-# tell from a first one. All of them have to meet the latency target.
+# tell from a first one. Each may use a third of the time that is to spare.
 CLIENT_TRIES = 3
 # On shutdown, the last waits end this long before the process does, so that
 # several ticks are left for them.
@@ -290,7 +290,7 @@
     if reason not in _PASSING_REASONS:
         return reason
     if flow.deadline <= now:
-        return 'queue_full'
+        return 'wait_expired'
     has_usable = any(
         not entry.excludes_new_flows(now)
         for service in flow.scope[0]
--- a/apricottally/tagged/queueing/lane.py
+++ b/apricottally/tagged/queueing/lane.py
@@ -14,7 +14,7 @@
 
 
 # Flows that are late are refused once the others have waited for this long
-# without interruption: about a third of what a client waits for an answer.
+# without interruption. A client waits 1.4 s for an answer to its SYN.
 OVERLOAD_S = 0.5
 
 
@@ -79,14 +79,14 @@
         for order in self._orders.values():
             order.update(caller)
 
-    def review(self, now: float) -> None:
+    def update_overload(self, now: float) -> None:
         """Note whether flows that are not late still wait."""
         if all(is_late for _, is_late in self._orders):
             self.on_time_since = None
         elif self.on_time_since is None:
             self.on_time_since = now
 
-    def is_outpaced(self, now: float) -> bool:
+    def is_overloaded(self, now: float) -> bool:
         """Tell whether late flows have no prospect of being served.
 
         They come after all others, which have kept the backends busy for a
--- a/apricottally/tagged/queueing/waiting.py
+++ b/apricottally/tagged/queueing/waiting.py
@@ -107,14 +107,14 @@
         for caller in self.callers.expire(now):
             self._update_caller(caller)
         for lane in self.lanes.values():
-            lane.review(now)
+            lane.update_overload(now)
         expired: list[WaitingFlow] = []
         while self._timers and self._timers[0][0] <= now:
             flow = heapq.heappop(self._timers)[2]
             if self.by_key.get(flow.packet.key) is not flow:
                 continue
-            is_outpaced = self.lanes[flow.scope].is_outpaced(now)
-            if now >= flow.deadline or is_outpaced:
+            is_overloaded = self.lanes[flow.scope].is_overloaded(now)
+            if now >= flow.deadline or is_overloaded:
                 self.remove(flow)
                 expired.append(flow)
             else:
@@ -136,8 +136,7 @@
 
     def _mark_late(self, flow: WaitingFlow) -> None:
         lane = self.lanes[flow.scope]
-        # The lane keeps its place in the tables, although it may be empty
-        # between the two calls.
+        # `self.remove` would also delete a lane that becomes empty.
         lane.remove(flow)
         flow.is_late = True
         lane.add(flow)
--- a/apricottally/tagged/refusals.py
+++ b/apricottally/tagged/refusals.py
@@ -87,7 +87,7 @@
     services = [target.service for target in route.targets]
     if not any(map(state.catalog.list_candidates, services)):
         return 'no_backend'
-    if coldstart.are_all_limited(state, services, now):
+    if coldstart.are_all_limited(state, route, now):
         return 'cold'
     return 'full'
 
--- a/apricottally/tagged/selection.py
+++ b/apricottally/tagged/selection.py
@@ -74,7 +74,10 @@
 def count_demand(
     state: NodeState, route: Route, key: bytes, now: float
 ) -> None:
-    """Count a flow that waits without a selection."""
+    """Count a flow that waits without a selection.
+
+    All its services count, as if none had room.
+    """
     for service in order_services(route, key):
         state.demand.count_request(service, route.priority, now)
 
@@ -151,7 +154,7 @@
     ranked: list[tuple[_Rank, Entry]] = []
     for entry in entries:
         backend = entry.backend
-        if backend is None or not _is_eligible(state, entry, now):
+        if backend is None or not _may_get_flow(state, entry, now):
             continue
         busy = state.occupancy.count_busy(backend.tag)
         if busy >= backend.slots + limit:
@@ -163,7 +166,7 @@
     return min(ranked, key=_get_rank)[1] if ranked else None
 
 
-def _is_eligible(state: NodeState, entry: Entry, now: float) -> bool:
+def _may_get_flow(state: NodeState, entry: Entry, now: float) -> bool:
     if entry.excludes_new_flows(now):
         return False
     return coldstart.is_available(state, entry, now)
--- a/apricottally/tagged/suspicion.py
+++ b/apricottally/tagged/suspicion.py
@@ -56,7 +56,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DueProbe:
-    """A probe to repeat at `due_at`, of a backend silent since `since`."""
+    """A probe of a backend to repeat at `due_at`.
+
+    It is not needed if the backend has answered since `since`, the start of
+    the refused probe.
+    """
 
     due_at: float
     tag: int
@@ -142,11 +146,14 @@
         )
         return True
 
-    def record_refusal(self, tag: int, since: float, now: float) -> bool:
+    def record_connection_refused(
+        self, tag: int, since: float, now: float
+    ) -> bool:
         """Record a refused connection; tell whether the backend may be alive.
 
-        If so, new flows avoid it for a while and it is probed again. `since`
-        is when the request that led to the probe was sent.
+        It is not if it has answered nothing for `REFUSAL_SILENCE_S`. If it may
+        be, new flows avoid it for a while and it is probed again. `since` is
+        when the refused probe was started.
         """
         health = self._get_or_create(tag)
         if now - health.last_response_at >= REFUSAL_SILENCE_S:
