--- a/apricottally/tagged/hedging/limits.py
+++ b/apricottally/tagged/hedging/limits.py
@@ -11,8 +11,9 @@
 # window together, as early as the first of them.
 _GROUP_S = 0.1
 # Each hedge needs the openings of two, so that steady demand uses at most half
-# of the share. They lie between it and the previous hedge, so that a window with n hedges, n > 1, has the openings of
-# 2 * (n - 1) >= n hedges, even if it starts and ends with a hedge.
+# of the share. They lie between it and the previous hedge. A window with n
+# hedges, n > 1, thus has the openings of 2 * (n - 1) >= n hedges, even if it
+# starts and ends with a hedge.
 _HEDGES_PAID = 2
 
 
