--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -246,11 +246,13 @@
                 reader, writer = await asyncio.open_connection(
                     node.ip, self.ready_port
                 )
-                writer.write(
-                    b'GET /api/readiness HTTP/1.1\r\nHost: ready\r\n\r\n'
-                )
-                line = await reader.readline()
-                writer.close()
+                try:
+                    writer.write(
+                        b'GET /api/readiness HTTP/1.1\r\nHost: ready\r\n\r\n'
+                    )
+                    line = await reader.readline()
+                finally:
+                    writer.close()
         except OSError:
             return False
         return b' 200 ' in line
@@ -294,6 +296,7 @@
         """End all processes and sockets that the case has opened."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for node in self.nodes:
             node.signal(signal.SIGCONT)
             node.signal(signal.SIGKILL)
