--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -1,6 +1,8 @@
 """A stand-in of a backend in the form `echo` (PROTOCOL.md)."""
 
 import asyncio
+import base64
+import json
 import random
 import time
 from dataclasses import dataclass
@@ -11,6 +13,7 @@
 RETRANSMIT_S = 0.2
 MAX_RETRANSMIT_S = 1.6
 MAX_RETRANSMISSIONS = 8
+HEARTBEAT_S = 1.2
 
 
 @dataclass
@@ -65,6 +68,7 @@
         self.draining_acked_at: float | None = None
         self._transport = None
         self._server = None
+        self._heartbeats = None
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
@@ -75,24 +79,44 @@
             self._serve_health, self.ip, self.port
         )
         self.register()
+        self._heartbeats = asyncio.create_task(self._heartbeat())
 
     def register(self) -> None:
-        """Write the entry; it changes when more than `seq-no` changes."""
+        """Write the entry."""
         self.seq_no += 1
-        self.store.put(
-            f'servers/{self.name}',
-            {
-                'service': self.service,
-                'address': f'{self.ip}:{self.port}',
-                'zone': self.zone,
-                'version': 'v1',
-                'slots': self.slots,
-                'state': self.state,
-                'cold-left-ms': 0,
-                'seq-no': self.seq_no,
-                'born': self._born_ms,
-            },
-        )
+        entry = self._describe() | {'seq-no': self.seq_no}
+        self.store.put(f'servers/{self.name}', entry)
+
+    def _describe(self) -> dict:
+        return {
+            'service': self.service,
+            'address': f'{self.ip}:{self.port}',
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': self.state,
+            'cold-left-ms': 0,
+            'born': self._born_ms,
+        }
+
+    async def _heartbeat(self) -> None:
+        """Write the entry again if more than `seq-no` would change."""
+        while self.alive:
+            await asyncio.sleep(HEARTBEAT_S)
+            if self.alive and self._read_entry() != self._describe():
+                self.register()
+
+    def _read_entry(self) -> dict | None:
+        """Return the stored entry without `seq-no`, None if unreadable."""
+        item = self.store.items.get(f'servers/{self.name}')
+        if item is None:
+            return None
+        try:
+            entry = json.loads(base64.b64decode(item['value']))
+            entry.pop('seq-no', None)
+        except (ValueError, RecursionError, AttributeError, TypeError):
+            return None
+        return entry
 
     def drain(self) -> None:
         """Report `draining`; the store has acknowledged it on return."""
@@ -107,6 +131,8 @@
 
     def close(self) -> None:
         self.alive = False
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
         if self._transport is not None:
             self._transport.close()
         if self._server is not None:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -349,11 +349,21 @@
 
 
 def run_case(play) -> None:
-    """Run `play(world_trouble)`; exit with 0 (held), 1 (broken) or 2."""
+    """Run `play(trouble)`; exit with 0 (held), 1 (broken) or 2.
+
+    SIGTERM ends the case and all processes that it has started.
+    """
     trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
-        broken = asyncio.run(play(trouble))
-    except (CannotRun, OSError) as error:
-        print(f'cannot run: {error}')
+        broken = asyncio.run(_run_until_signal(play(trouble)))
+    except (CannotRun, OSError, asyncio.CancelledError) as error:
+        print(f'cannot run: {error!r}')
         sys.exit(2)
     sys.exit(1 if broken else 0)
+
+
+async def _run_until_signal(case) -> bool:
+    task = asyncio.ensure_future(case)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
