Log who confirmed the records and who brought a change

Lines with age_ms now have confirmed_by; backend_changed and configuration_in_force have source, chosen has the backend's revision; the metric own_read_age_seconds is the time since the node's own last read.

No decision changes.

--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -23,6 +23,7 @@
     RecordsListed,
     SnapshotPulled,
 )
+from apricottally.tagged.freshness import PLATFORM
 from apricottally.tagged.messages import Delta, Snapshot, SnapshotRequest
 from apricottally.tagged.neighbours import Neighbour
 from apricottally.tagged.places import transitions
@@ -43,7 +44,7 @@
     """Apply a complete list from the platform and relay what changed."""
     known_revision = state.catalog.revision
     effects = _start_epoch(state, event.revision, event.now)
-    logs, applied = _apply(state, event.changes, event.now)
+    logs, applied = _apply(state, event.changes, PLATFORM, event.now)
     effects += logs
     missing = _remove_missing(state, event.changes, event.revision, event.now)
     effects += [
@@ -80,7 +81,7 @@
     state: NodeState, event: RecordsChanged
 ) -> list[Effect]:
     """Apply the changes from a watch of the platform and relay them."""
-    effects, _ = _apply(state, event.changes, event.now)
+    effects, _ = _apply(state, event.changes, PLATFORM, event.now)
     known_revision = state.catalog.revision
     if event.after > known_revision:
         return effects
@@ -117,12 +118,13 @@
         sender = state.neighbours.by_name.get(delta.sender)
         return _pull(state, sender, now) if sender else []
     confirmed_at = now - delta.age_ms / 1000
+    source = f'delta {delta.sender}'
     if delta.revision <= known_revision:
         if delta.revision == known_revision:
-            state.freshness.confirm(confirmed_at, now)
+            state.freshness.confirm(confirmed_at, now, source)
         return []
-    effects, _ = _apply(state, delta.changes, now)
-    _advance_revision(state, delta.revision, confirmed_at, now)
+    effects, _ = _apply(state, delta.changes, source, now)
+    _advance_revision(state, delta.revision, confirmed_at, now, source)
     near = state.gossip_targets.list_near(now)
     relayed = _build_delta(
         state, delta.after, delta.revision, delta.changes, now
@@ -145,7 +147,8 @@
     if neighbour.revision == NO_REVISION:
         return []
     if neighbour.revision == known_revision:
-        state.freshness.confirm(now - age_ms / 1000, now)
+        source = f'heartbeat {neighbour.peer.name}'
+        state.freshness.confirm(now - age_ms / 1000, now, source)
     if (
         neighbour.revision <= known_revision
         and neighbour.version <= state.configuration_version
@@ -174,7 +177,8 @@
         # The node entered another epoch after it had requested the snapshot.
         return []
     effects = _start_epoch(state, snapshot.revision, event.now)
-    logs, _ = _apply(state, snapshot.changes, event.now)
+    source = f'snapshot {event.peer}'
+    logs, _ = _apply(state, snapshot.changes, source, event.now)
     effects += logs
     if snapshot.complete:
         _remove_missing(state, snapshot.changes, snapshot.revision, event.now)
@@ -185,7 +189,7 @@
     confirmed_at = event.requested_at - snapshot.age_ms / 1000
     if snapshot.revision > state.catalog.revision:
         state.heartbeat_due = True
-    _advance_revision(state, snapshot.revision, confirmed_at, event.now)
+    _advance_revision(state, snapshot.revision, confirmed_at, event.now, source)
     return effects
 
 
@@ -212,6 +216,7 @@
 def _apply(
     state: NodeState,
     changes: tuple[Change, ...],
+    source: str,
     now: float,
 ) -> tuple[list[Effect], list[Change]]:
     """Apply changes; return log effects and the changes that were new."""
@@ -227,7 +232,7 @@
     for change in changes:
         if state.catalog.apply(change, now, grace_s):
             applied.append(change)
-            logs.append(recordlogs.describe_change(state, change, now))
+            logs.append(recordlogs.describe_change(state, change, source, now))
         else:
             logs += _report_ignored(state, change)
     state.invariants.check(
@@ -306,11 +311,12 @@
     revision: Revision,
     confirmed_at: float,
     now: float,
+    source: str = PLATFORM,
 ) -> None:
     if revision < state.catalog.revision:
         return
     state.catalog.revision = revision
-    state.freshness.confirm(confirmed_at, now)
+    state.freshness.confirm(confirmed_at, now, source)
     state.behind_since = None
 
 
--- a/apricottally/tagged/exposition.py
+++ b/apricottally/tagged/exposition.py
@@ -73,6 +73,7 @@
         ('epoch', state.catalog.revision.epoch),
         ('revision', state.catalog.revision.number),
         ('records_age_seconds', state.freshness.age_ms(now) / 1000),
+        ('own_read_age_seconds', state.freshness.read_age_ms(now) / 1000),
         ('flows', len(state.flows.by_key)),
         ('waiting_flows', len(state.waiting.by_key)),
         ('neighbours', len(alive)),
--- a/apricottally/tagged/freshness.py
+++ b/apricottally/tagged/freshness.py
@@ -9,6 +9,8 @@
 
 from dataclasses import dataclass
 
+from apricottally.effects import LogValue
+
 _LONG_AGO = float('-inf')
 _NEVER = float('inf')
 # Record age from which the platform is assumed unreachable for the whole fleet.
@@ -18,6 +20,8 @@
 # LAPSE_GRACE_S.
 OUTAGE_RECOVERY_S = 6.0
 LAPSE_GRACE_S = 2.0
+# Source of a confirmation by a read of this node's own.
+PLATFORM = 'platform'
 # Upper limit of the reported age; also reported for unconfirmed records.
 MAX_AGE_MS = 3_600_000
 
@@ -28,21 +32,31 @@
 
     Records of age `stale_s` or more do not count as current. `current_since`
     is when they last became current, `last_outage_at` when the platform was
-    last unreachable.
+    last unreachable. `confirmed_by` tells who confirmed them, `read_at` is
+    when this node itself last began a read that confirmed them.
     """
 
     stale_s: float
     confirmed_at: float = _LONG_AGO
     current_since: float = _NEVER
     last_outage_at: float = _LONG_AGO
+    confirmed_by: str = ''
+    read_at: float = _LONG_AGO
+
+    def confirm(self, at: float, now: float, source: str = PLATFORM) -> None:
+        """Record that this node's records are the newest as of `at`.
 
-    def confirm(self, at: float, now: float) -> None:
-        """Record that this node's records are the newest as of `at`."""
+        `source` is `PLATFORM` for a read of this node's own, else the kind of
+        the message and the name of the node that sent it.
+        """
+        if source == PLATFORM:
+            self.read_at = max(at, self.read_at)
         if at <= self.confirmed_at:
             return
         if not self.is_current(now):
             self.current_since = now
         self.confirmed_at = at
+        self.confirmed_by = source
 
     def is_current(self, now: float) -> bool:
         """Tell whether the records are younger than `stale_s`."""
@@ -68,5 +82,19 @@
 
     def age_ms(self, now: float) -> int:
         """Return the age of the records in milliseconds."""
-        age_s = now - self.confirmed_at
-        return int(min(age_s * 1000, MAX_AGE_MS))
+        return _to_age_ms(now - self.confirmed_at)
+
+    def read_age_ms(self, now: float) -> int:
+        """Return the time since this node's own last read, in milliseconds."""
+        return _to_age_ms(now - self.read_at)
+
+    def describe(self, now: float) -> dict[str, LogValue]:
+        """Return log fields with the age of the records and who told it."""
+        return {
+            'age_ms': self.age_ms(now),
+            'confirmed_by': self.confirmed_by,
+        }
+
+
+def _to_age_ms(age_s: float) -> int:
+    return int(min(age_s * 1000, MAX_AGE_MS))
--- a/apricottally/tagged/platformreads.py
+++ b/apricottally/tagged/platformreads.py
@@ -125,7 +125,7 @@
         return []
     fields: dict[str, LogValue] = {
         'reason': event.reason,
-        'age_ms': state.freshness.age_ms(event.now),
+        **state.freshness.describe(event.now),
         **_describe_known_revision(state),
     }
     return [WriteLog('platform_lost', fields)]
@@ -160,7 +160,7 @@
         return []
     fields = {
         'failures': reads.failures,
-        'age_ms': state.freshness.age_ms(now),
+        **state.freshness.describe(now),
     }
     reads.failures = 0
     return [WriteLog('platform_regained', fields)]
@@ -181,7 +181,7 @@
 def _log_lost_history(state: NodeState, now: float) -> WriteLog:
     fields = {
         **_describe_known_revision(state),
-        'age_ms': state.freshness.age_ms(now),
+        **state.freshness.describe(now),
     }
     return WriteLog('history_lost', fields)
 
--- a/apricottally/tagged/recordlogs.py
+++ b/apricottally/tagged/recordlogs.py
@@ -20,9 +20,14 @@
     from apricottally.tagged.state import NodeState
 
 
-def describe_change(state: NodeState, change: Change, now: float) -> WriteLog:
-    """Return the log record of a change that was applied."""
-    age_ms = state.freshness.age_ms(now)
+def describe_change(
+    state: NodeState, change: Change, source: str, now: float
+) -> WriteLog:
+    """Return the log record of a change that was applied.
+
+    `source` is `PLATFORM`, or the message and the node that brought it.
+    """
+    age = state.freshness.describe(now)
     if isinstance(change, EvacuationChange):
         return transitions.describe(state, change, now)
     if isinstance(change, ConfigurationChange):
@@ -33,7 +38,8 @@
                 'epoch': change.revision.epoch,
                 'revision': change.revision.number,
                 'routes': len(change.configuration.routes),
-                'age_ms': age_ms,
+                'source': source,
+                **age,
             },
         )
     backend = change.backend
@@ -50,7 +56,8 @@
             'state': status,
             'epoch': change.revision.epoch,
             'revision': change.revision.number,
-            'age_ms': age_ms,
+            'source': source,
+            **age,
         },
     )
 
@@ -64,7 +71,7 @@
             'state': 'missing',
             'epoch': state.catalog.revision.epoch,
             'revision': state.catalog.revision.number,
-            'age_ms': state.freshness.age_ms(now),
+            **state.freshness.describe(now),
         },
     )
 
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -70,7 +70,7 @@
         state.purged_at = now
         _purge(state, now)
     if state.freshness.detect_outage(now):
-        fields = {'age_ms': state.freshness.age_ms(now)}
+        fields = state.freshness.describe(now)
         effects.append(WriteLog('records_stale', fields))
     effects += heartbeats.tick(state, now)
     return effects + shutdown.tick(state, now)
--- a/apricottally/tagged/refusals.py
+++ b/apricottally/tagged/refusals.py
@@ -110,7 +110,7 @@
         'reason': reason,
         'tag': packet.tag,
         'version': state.configuration_version,
-        'age_ms': state.freshness.age_ms(now),
+        **state.freshness.describe(now),
     }
     return [Reset(packet), WriteLog('refused', fields)]
 
@@ -146,8 +146,9 @@
             'service': backend.service,
             'busy': state.occupancy.count_busy(backend.tag),
             'own': state.occupancy.get_own_count(backend.tag).busy,
+            'revision': entry.revision.number,
             'version': state.configuration_version,
-            'age_ms': state.freshness.age_ms(now),
+            **state.freshness.describe(now),
         },
     )
 
