--- a/tests/taggedfleet.py
+++ b/tests/taggedfleet.py
@@ -180,8 +180,10 @@
     """Nodes, the datagrams between them, and their calls to the platform.
 
     The platform refuses requests of the nodes in `refused`; the nodes in
-    `frozen` handle no events. Nodes of the zone `cut` reach only each other.
-    `forwarded` has the node and the backend of each first packet of a flow.
+    `frozen` handle no events, and their datagrams wait until they wake. Nodes
+    of the zone `cut` reach only each other. `forwarded` has the node and the
+    backend of each first packet of a flow, `revisions` the times of all changes
+    of the platform.
     """
 
     def __init__(
@@ -202,7 +204,10 @@
         self.muted: set[str] = set()
         self.forwarded: list = []
         self.forward_counts = ForwardCounts()
+        self.revisions = [(0.0, self.platform.revision)]
         self._queue: list = []
+        # Datagrams that frozen nodes have not read yet.
+        self._unread: dict[str, list] = collections.defaultdict(list)
         self._event_ids = itertools.count()
         self._node_count = nodes
         self._client_ports = itertools.count(1)
@@ -222,6 +227,7 @@
             config, random.Random(self.rng.random()), self.now
         )
         self._watches.pop(name, None)
+        self._unread.pop(name, None)
 
     def start_all(self) -> None:
         for index in range(self._node_count):
@@ -233,12 +239,22 @@
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / TICK_S)):
+            if self.revisions[-1][1] != self.platform.revision:
+                self.revisions.append((self.now, self.platform.revision))
             self.now += TICK_S
+            self._read_unread()
             self._deliver()
             self._answer_watches()
             for name in sorted(self.nodes):
                 self._submit(name, events.Ticked(self.now))
 
+    def find_revision(self, at: float) -> Revision:
+        """Return the platform's revision at a time."""
+        return max(
+            (revision for since, revision in self.revisions if since <= at),
+            default=self.revisions[0][1],
+        )
+
     def open_flows(self) -> None:
         """Send the first packet of a new flow to each node."""
         for name in sorted(self.nodes):
@@ -297,9 +313,17 @@
         self._schedule(delay, self._receive, target, source, payload)
 
     def _receive(self, target, source, payload) -> None:
+        if target in self.frozen:
+            self._unread[target].append((source, payload))
+            return
         event = events.PeerArrived(self.now, source, payload)
         self._submit(target, event)
 
+    def _read_unread(self) -> None:
+        for name in self._unread.keys() - self.frozen:
+            for source, payload in self._unread.pop(name):
+                self._receive(name, source, payload)
+
     def _schedule(self, delay, action, *arguments) -> None:
         entry = (self.now + delay, next(self._event_ids), action, arguments)
         heapq.heappush(self._queue, entry)
