Reject entries of the store one by one

Cause: RecursionError is no error of msgspec, so that it passed the handlers; and an item that could not be read failed its whole page.

decoding.decode turns each way in which a payload can be malformed into one DecodingError, with a reason; both compositions use it. Items are decoded one by one. An entry is rejected with a reason, counted, and logged once for each revision. An event without a readable revision leads to a list, as no watch can continue after it.

The tests' record gets the field version, which entries have by PROTOCOL.md.

--- a/apricottally/addresses.py
+++ b/apricottally/addresses.py
@@ -30,10 +30,15 @@
     """Parse an endpoint written as `IP:PORT`; raises `ValueError`."""
     ip, _, port_text = text.rpartition(':')
     parse_ip(ip)
-    port = int(port_text)
-    if not port_text.isdecimal() or not 0 < port <= MAX_PORT:
-        raise ValueError(f'`{text}` is not IP:PORT')
-    return ip, port
+    return ip, parse_port(port_text)
+
+
+def parse_port(text: str) -> int:
+    """Parse a port in ASCII digits; raises `ValueError`."""
+    is_number = text.isascii() and text.isdecimal()
+    if not is_number or not 0 < int(text) <= MAX_PORT:
+        raise ValueError(f'`{text}` is not a port')
+    return int(text)
 
 
 def format_endpoint(endpoint: Endpoint) -> str:
--- a/apricottally/errors.py
+++ b/apricottally/errors.py
@@ -13,6 +13,14 @@
         self.reason = reason
 
 
+class DecodingError(ApricottallyError):
+    """A payload cannot be decoded; `reason` labels a counter."""
+
+    def __init__(self, reason: str, problem: str) -> None:
+        super().__init__(problem)
+        self.reason = reason
+
+
 class ModelError(ApricottallyError):
     """A value in an operator's document is not allowed.
 
--- a/apricottally/loadpoller.py
+++ b/apricottally/loadpoller.py
@@ -5,9 +5,9 @@
 from contextlib import closing
 from functools import partial
 
-import msgspec
-
 from apricottally.addresses import LOAD_PORT
+from apricottally.decoding import decode_json
+from apricottally.errors import DecodingError
 from apricottally.events import LoadReport
 
 POLL_TIMEOUT_S = 1.0
@@ -69,8 +69,8 @@
     if not separator or b' 200 ' not in head.split(b'\r\n', 1)[0]:
         return None
     try:
-        return msgspec.json.decode(body, type=LoadReport)
-    except msgspec.DecodeError:
+        return decode_json(body, LoadReport)
+    except DecodingError:
         return None
 
 
--- a/apricottally/loglines.py
+++ b/apricottally/loglines.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from apricottally.decoding import decode, decode_json
+from apricottally.errors import DecodingError
+
 # Event whose other fields count the lines that were not written.
 _SUPPRESSED_EVENT = 'suppressed'
 
@@ -39,17 +42,22 @@
         return None
     encoded = line[start:].strip()
     try:
-        parsed = _decoder.decode(encoded)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        parsed = decode(_decoder.decode, encoded)
+    except DecodingError:
         return None
-    return msgspec.structs.replace(parsed, text=encoded.decode())
+    return msgspec.structs.replace(
+        parsed, text=encoded.decode(errors='replace')
+    )
 
 
 def list_suppressed(line: LogLine) -> list[tuple[str, int]]:
     """Return what a node left out of its log: names and numbers of lines."""
     if line.event != _SUPPRESSED_EVENT:
         return []
-    fields = msgspec.json.decode(line.text, type=dict[str, object])
+    try:
+        fields = decode_json(line.text.encode(), dict[str, object])
+    except DecodingError:
+        return []
     return [
         (name, count)
         for name, count in fields.items()
--- a/apricottally/members.py
+++ b/apricottally/members.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from apricottally.addresses import Endpoint
+from apricottally.fields import IpAddress, Number, Port, Text
 
 
 class MemberState(enum.IntEnum):
@@ -19,12 +20,12 @@
 class Member(msgspec.Struct, frozen=True, array_like=True):
     """One node. Only the node itself increases its `incarnation`."""
 
-    name: str
-    zone: str
-    ip: str
-    packet_port: int
-    peer_port: int
-    incarnation: int = 0
+    name: Text
+    zone: Text
+    ip: IpAddress
+    packet_port: Port
+    peer_port: Port
+    incarnation: Number = 0
     state: MemberState = MemberState.alive
 
     @property
--- a/apricottally/messages.py
+++ b/apricottally/messages.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from apricottally.errors import WireError
+from apricottally import decoding
+from apricottally.errors import DecodingError, WireError
 from apricottally.members import Member
 from apricottally.occupancymessage import Occupancy
 
@@ -205,11 +206,9 @@
     if len(payload) > MAX_DATAGRAM_BYTES:
         raise WireError('oversized_message')
     try:
-        return _decoder.decode(payload)
-    except msgspec.ValidationError as error:
-        raise WireError('invalid_message') from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise WireError('malformed_message') from error
+        return decoding.decode(_decoder.decode, payload)
+    except DecodingError as error:
+        raise WireError(f'{error.reason}_message') from error
 
 
 def compute_size(part: Item | Entry | Member) -> int:
--- a/apricottally/model.py
+++ b/apricottally/model.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from apricottally import addresses
-from apricottally.errors import ModelError
+from apricottally import addresses, decoding
+from apricottally.errors import DecodingError, ModelError
 from apricottally.packet import MAX_BACKENDS
 
 ROOT_PREFIX = '/apricottally/'
@@ -167,8 +167,8 @@
 def decode_json(value: bytes | msgspec.Raw, body: type[Body]) -> Body:
     """Decode a JSON body; raises `ModelError` with the key path."""
     try:
-        return msgspec.json.decode(value, type=body)
-    except msgspec.DecodeError as error:
+        return decoding.decode_json(value, body)
+    except DecodingError as error:
         problem, _, path = str(error).partition(' - at ')
         raise ModelError(path.strip('`') or '$', problem) from error
 
--- a/apricottally/platformcalls.py
+++ b/apricottally/platformcalls.py
@@ -70,7 +70,12 @@
 
 def decode_entry(entry: pb.KeyValue) -> Record:
     """Return the record of a platform entry."""
-    return Record(entry.key.decode(), entry.mod_revision, entry.value)
+    return Record(decode_key(entry.key), entry.mod_revision, entry.value)
+
+
+def decode_key(key: bytes) -> str:
+    """Return a key as text; other writers' keys may not be UTF-8."""
+    return key.decode(errors='replace')
 
 
 def _translate_status(error: GRPCError) -> PlatformError:
--- a/apricottally/platformwatch.py
+++ b/apricottally/platformwatch.py
@@ -16,6 +16,7 @@
     ClientLimits,
     compute_range_end,
     decode_entry,
+    decode_key,
     translate_errors,
 )
 
@@ -160,5 +161,6 @@
 
 def _decode_event(event: pb.Event) -> Record:
     if event.type == pb.Event.DELETE:
-        return Record(event.kv.key.decode(), event.kv.mod_revision, None)
+        key = decode_key(event.kv.key)
+        return Record(key, event.kv.mod_revision, None)
     return decode_entry(event.kv)
--- a/apricottally/showcommand.py
+++ b/apricottally/showcommand.py
@@ -8,7 +8,8 @@
 
 from apricottally import model
 from apricottally.configcommands import connect_platform
-from apricottally.errors import ModelError
+from apricottally.decoding import decode_json
+from apricottally.errors import DecodingError, ModelError
 from apricottally.events import Record
 from apricottally.output import Answer, CommandError, ExitStatus, format_table
 
@@ -69,6 +70,14 @@
     return Answer(shown, '\n'.join([*lines, format_toml(shown.body)]))
 
 
+def _load_object(value: bytes) -> dict[str, Any]:
+    """Return a JSON object, or an empty one for anything else."""
+    try:
+        return decode_json(value, dict[str, Any])
+    except DecodingError:
+        return {}
+
+
 def describe_record(record: Record) -> Shown:
     """Decode the value of a record for output."""
     value = record.value or b''
@@ -77,10 +86,7 @@
         model.decode_record(record.key, value)
     except ModelError as error:
         problem = str(error)
-    try:
-        content = json.loads(value)
-    except ValueError:
-        content = {}
+    content = _load_object(value)
     if record.key.startswith(model.MACHINE_PREFIX):
         return Shown(record.key, record.version, '', '', content, problem)
     return Shown(
--- a/apricottally/tagged/events.py
+++ b/apricottally/tagged/events.py
@@ -13,7 +13,7 @@
 from apricottally.addresses import Endpoint
 from apricottally.tagged.messages import Snapshot
 from apricottally.tagged.packets import FlowPacket
-from apricottally.tagged.records import Change
+from apricottally.tagged.records import Change, Rejection
 from apricottally.tagged.revisions import Revision
 
 
@@ -41,19 +41,22 @@
 class RecordsListed(msgspec.Struct, frozen=True):
     """The platform returned a complete list of its records.
 
-    The list includes at least every change up to `revision`.
+    The list includes at least every change up to `revision`. `rejected` are
+    the entries that cannot be used.
     """
 
     now: float
     requested_at: float
     revision: Revision
     changes: tuple[Change, ...]
+    rejected: tuple[Rejection, ...] = ()
 
 
 class RecordsChanged(msgspec.Struct, frozen=True):
     """A watch of the platform returned; it timed out if `changes` is empty.
 
-    `changes` are all changes after the revision `after` up to `revision`.
+    `changes` are all changes after the revision `after` up to `revision`,
+    `rejected` the entries among them that cannot be used.
     """
 
     now: float
@@ -61,6 +64,7 @@
     after: Revision
     revision: Revision
     changes: tuple[Change, ...]
+    rejected: tuple[Rejection, ...] = ()
 
 
 class ReadFailed(msgspec.Struct, frozen=True):
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -7,36 +7,40 @@
 
 from __future__ import annotations
 
-from typing import Annotated, TypeAlias, TypeVar
+from typing import TypeAlias, TypeVar
 
 import msgspec
 
-from apricottally.errors import WireError
+from apricottally import decoding
+from apricottally.errors import DecodingError, WireError
+from apricottally.fields import (
+    IpAddress,
+    LoadNumber,
+    Number,
+    Port,
+    Tag,
+    Text,
+)
 from apricottally.tagged.records import Change
-from apricottally.tagged.revisions import MAX_NUMBER, Revision
+from apricottally.tagged.revisions import Revision
 from apricottally.tagged.zoneloads.wire import ZoneLoads
 
 # Avoids IP fragmentation on paths with an MTU of 1,500 bytes.
 MAX_DATAGRAM_BYTES = 1400
 
-
-_IpAddress = Annotated[
-    str, msgspec.Meta(pattern=r'^(?:[0-9]{1,3}[.]){3}[0-9]{1,3}$')
-]
-_Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 # Milliseconds since the start of the process whose clock was read.
-ClockReading = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-AgeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+ClockReading: TypeAlias = Number
+AgeMs: TypeAlias = Number
 
 
 class Peer(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Identity and address of a node; `incarnation` changes at a restart."""
 
-    name: str
-    zone: str
-    ip: _IpAddress
-    port: _Port
-    incarnation: int
+    name: Text
+    zone: Text
+    ip: IpAddress
+    port: Port
+    incarnation: Number
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -45,9 +49,9 @@
     `busy` counts requests in progress, `open` counts open flows.
     """
 
-    tag: int
-    busy: int
-    open: int
+    tag: Tag
+    busy: LoadNumber
+    open: LoadNumber
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -66,15 +70,15 @@
     """
 
     sender: Peer
-    sequence: int
+    sequence: Number
     leaving: bool
     revision: Revision
-    version: int
+    version: Number
     age_ms: AgeMs
     loads: tuple[Load, ...]
-    unreachable: tuple[int, ...]
+    unreachable: tuple[Tag, ...]
     known: tuple[Peer, ...]
-    zone_size: int = 0
+    zone_size: Number = 0
     zone_loads: tuple[ZoneLoads, ...] = ()
     sent_ms: ClockReading | None = None
 
@@ -85,12 +89,12 @@
     `age_ms` and `sent_ms` are as in a heartbeat; `incarnation` is the sender's.
     """
 
-    sender: str
+    sender: Text
     after: Revision
     revision: Revision
     age_ms: AgeMs
     changes: tuple[Change, ...]
-    incarnation: int = 0
+    incarnation: Number = 0
     sent_ms: ClockReading | None = None
 
 
@@ -101,7 +105,7 @@
     come back in the reply.
     """
 
-    incarnation: int
+    incarnation: Number
     sent_ms: ClockReading
 
 
@@ -111,10 +115,10 @@
     `received_ms` is when the node `name` has read the request, by its clock.
     """
 
-    requester: int
+    requester: Number
     sent_ms: ClockReading
-    name: str
-    incarnation: int
+    name: Text
+    incarnation: Number
     received_ms: ClockReading
 
 
@@ -169,8 +173,6 @@
     kind: str,
 ) -> _Decoded:
     try:
-        return decoder.decode(payload)
-    except msgspec.ValidationError as error:
-        raise WireError(f'invalid_{kind}') from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise WireError(f'malformed_{kind}') from error
+        return decoding.decode(decoder.decode, payload)
+    except DecodingError as error:
+        raise WireError(f'{error.reason}_{kind}') from error
--- a/apricottally/tagged/networkcalls.py
+++ b/apricottally/tagged/networkcalls.py
@@ -15,7 +15,7 @@
 from apricottally.errors import CompactedError, PlatformError, PullError
 from apricottally.tagged import effects, events
 from apricottally.tagged.messages import Snapshot, SnapshotRequest
-from apricottally.tagged.records import Backend, Change
+from apricottally.tagged.records import Backend, Change, Rejection
 from apricottally.tagged.revisions import Revision
 from apricottally.tagged.snapshots import fetch_snapshot
 from apricottally.tagged.state import NodeState
@@ -29,10 +29,14 @@
 
 
 class RecordBatch(msgspec.Struct, frozen=True):
-    """Changes of platform records, complete up to `revision`."""
+    """Changes of platform records, complete up to `revision`.
+
+    `rejected` are the entries that cannot be used.
+    """
 
     revision: Revision
     changes: tuple[Change, ...]
+    rejected: tuple[Rejection, ...] = ()
 
 
 class Platform(Protocol):
@@ -105,6 +109,7 @@
                 requested_at,
                 batch.revision,
                 batch.changes,
+                batch.rejected,
             ),
         )
 
@@ -122,6 +127,7 @@
                 effect.after,
                 batch.revision,
                 batch.changes,
+                batch.rejected,
             ),
         )
 
--- a/apricottally/tagged/platformreads.py
+++ b/apricottally/tagged/platformreads.py
@@ -10,11 +10,11 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from apricottally.effects import LogValue
-from apricottally.tagged import dissemination
+from apricottally.tagged import dissemination, rejections
 from apricottally.tagged.effects import (
     Effect,
     ListRecords,
@@ -22,7 +22,7 @@
     WriteLog,
 )
 from apricottally.tagged.events import ReadFailed, RecordsChanged, RecordsListed
-from apricottally.tagged.revisions import NO_REVISION
+from apricottally.tagged.revisions import NO_REVISION, Revision
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -60,7 +60,8 @@
 
     `must_list` is set before the first list, and if the platform no longer has
     the history that a watch needs. `lost_histories` counts such watches since
-    the last one that was answered.
+    the last one that was answered. `rejected` has the entries that were logged
+    as not usable, with their revisions.
     """
 
     phase: Phase = Phase.idle
@@ -69,6 +70,7 @@
     failures: int = 0
     lost_histories: int = 0
     listed_at: float = float('-inf')
+    rejected: dict[str, Revision] = field(default_factory=dict)
 
 
 def tick(state: NodeState, now: float) -> list[Effect]:
@@ -95,6 +97,7 @@
     reads.must_list = False
     reads.listed_at = event.now
     effects.append(_log_list(state, event))
+    effects += rejections.record_listed(state, event.rejected)
     effects += dissemination.apply_list(state, event)
     return effects + tick(state, event.now)
 
@@ -107,6 +110,7 @@
     effects = _finish_read(state, event.now)
     state.read_state.lost_histories = 0
     state.durations.platform_call.add(event.now - event.requested_at)
+    effects += rejections.record_changed(state, event.rejected)
     effects += dissemination.apply_watched_changes(state, event)
     return effects + tick(state, event.now)
 
--- a/apricottally/tagged/records.py
+++ b/apricottally/tagged/records.py
@@ -11,6 +11,17 @@
 
 import msgspec
 
+from apricottally.fields import (
+    BackendNumber,
+    IpAddress,
+    IpNumber,
+    Number,
+    Port,
+    Rate,
+    Slots,
+    Tag,
+    Text,
+)
 from apricottally.tagged.revisions import Revision
 
 
@@ -30,18 +41,18 @@
     record that it writes after a start.
     """
 
-    name: str
-    number: int
-    tag: int
-    service: str
-    ip: str
-    port: int
-    zone: str
-    slots: int
+    name: Text
+    number: BackendNumber
+    tag: Tag
+    service: Text
+    ip: IpAddress
+    port: Port
+    zone: Text
+    slots: Slots
     draining: bool
-    cold_ms: int
-    born_ms: int
-    sequence: int
+    cold_ms: Number
+    born_ms: Number
+    sequence: Number
 
     @property
     def order(self) -> tuple[int, int]:
@@ -53,7 +64,7 @@
     """A service that gets a weighted share of a route's new flows."""
 
     service: str
-    weight: int
+    weight: Number
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -64,13 +75,13 @@
     """
 
     name: str
-    address: int
-    port: int
+    address: IpNumber
+    port: Port
     targets: tuple[Target, ...]
     repetition: Repetition
-    priority: int
-    timeout_ms: int
-    latency_ms: int
+    priority: Number
+    timeout_ms: Number
+    latency_ms: Number
     regions: tuple[str, ...] = ()
 
 
@@ -82,16 +93,16 @@
     """
 
     name: str
-    cold_start_ms: int
-    cold_per_s: float
+    cold_start_ms: Number
+    cold_per_s: Rate
 
 
 class Configuration(msgspec.Struct, frozen=True, array_like=True):
     """All routes and services; idle flows are dropped after a time."""
 
-    version: int
+    version: Number
     routes: tuple[Route, ...]
-    idle_timeout_ms: int
+    idle_timeout_ms: Number
     services: tuple[Service, ...] = ()
 
 
@@ -103,7 +114,7 @@
     keeps its open ones.
     """
 
-    name: str
+    name: Text
     revision: Revision
     backend: Backend | None
     readable: bool = True
@@ -127,4 +138,16 @@
     active: bool
 
 
+class Rejection(msgspec.Struct, frozen=True):
+    """An entry of the platform that cannot be used.
+
+    `reason` labels a counter, `problem` is for the log.
+    """
+
+    key: str
+    revision: Revision
+    reason: str
+    problem: str
+
+
 Change: TypeAlias = BackendChange | ConfigurationChange | EvacuationChange
--- a/apricottally/tagged/revisions.py
+++ b/apricottally/tagged/revisions.py
@@ -2,14 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Annotated, TypeAlias
-
 import msgspec
 
-# Larger numbers cannot be encoded in the messages between nodes.
-MAX_NUMBER = (1 << 62) - 1
-
-Number: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+from apricottally.fields import Number
 
 
 class Revision(
--- a/apricottally/tagged/snapshots.py
+++ b/apricottally/tagged/snapshots.py
@@ -66,7 +66,19 @@
         after = request.after
         writer.write(_REQUEST.pack(after.epoch, after.number, request.version))
         compressed = await _read_response(reader)
-    return decode_snapshot(zlib.decompress(compressed))
+    return decode_snapshot(decompress(compressed))
+
+
+def decompress(compressed: bytes) -> bytes:
+    """Return the data, of `MAX_SNAPSHOT_BYTES` at most.
+
+    A few compressed bytes could otherwise fill the memory.
+    """
+    stream = zlib.decompressobj()
+    found = stream.decompress(compressed, MAX_SNAPSHOT_BYTES)
+    if not stream.eof:
+        raise WireError('oversized_snapshot')
+    return found
 
 
 async def _read_response(reader: asyncio.StreamReader) -> bytes:
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from fleetnode import records, settings
+from fleetnode import records, servers, settings
 from fleetnode.packets import Codec
 from fleetnode.storeclient import StoreClient
 from hypothesis import given
@@ -33,6 +33,7 @@
     'service': 'core',
     'address': '10.2.0.9:8080',
     'zone': 'a',
+    'version': 'v1',
     'slots': 2,
     'state': 'ready',
     'cold-left-ms': 0,
@@ -89,7 +90,7 @@
 )
 def test_number_of_backend(name, number) -> None:
     """A wrong number would send packets to another backend."""
-    assert records.parse_number(name) == number
+    assert servers.parse_number(name) == number
 
 
 @pytest.mark.parametrize(
