--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -181,6 +181,20 @@
     run(scenario())
 
 
+@pytest.mark.parametrize('field', SERVER)
+@pytest.mark.parametrize('value', [None, [], {}, True])
+def test_field_that_is_missing_or_mistyped(field, value) -> None:
+    """Guards against requests for a service that another writer has named.
+
+    An entry that lacks a field or has it with another type names no backend.
+    """
+    entry = {name: old for name, old in SERVER.items() if name != field}
+    for found in (entry, entry | {field: value}):
+        item = records.Item(f'servers/{GOOD}', 8, encode(found))
+        expected = BackendChange(GOOD, rev(8), None, readable=False)
+        assert records.decode_item(item, 1) == expected
+
+
 def test_unreadable_entry_under_a_living_id() -> None:
     """Guards against what is known of a backend becoming something wrong.
 
