Write a flow's own tag into packets that carry another

A SYN went to two backends and the first one sent its lost SYN+ACK again, so that the client placed the first one's echo.

The node now writes the tag of the backend that serves the flow into such a packet.

--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -80,7 +80,9 @@
     tag = packet.tag
     if flow is not None and flow.established and not flow.closed:
         # If the SYN went to several backends, a late SYN-ACK of another backend
-        # may have changed the tag that the client sends.
+        # may have changed the tag that the client sends. The flow's own tag is
+        # written into the packet, so that its backend returns that one: any
+        # other node knows the flow by its tag only.
         tag = flow.tag
     entry = state.catalog.find_by_tag(tag)
     if entry is None or entry.backend is None:
@@ -96,7 +98,8 @@
         state.demand.count_request(entry.backend.service, route.priority, now)
     if packet.length and _should_reset(state, packet, tag, route, now):
         return refusals.reset_flow(state, packet, 'backend_unreachable', now)
-    return [Forward(entry.backend, packet.raw)]
+    written_tag = None if tag == packet.tag else tag
+    return [Forward(entry.backend, packet.raw, written_tag)]
 
 
 def _should_reset(
--- a/tests/test_tagged_steering.py
+++ b/tests/test_tagged_steering.py
@@ -63,6 +63,20 @@
     assert node.list_forwarded()[0].backend.tag == tag
 
 
+def test_late_syn_ack_does_not_change_the_tag() -> None:
+    """Guards against a flow that carries the tag of another backend for good.
+
+    Its own backend repeats the last tag that it was sent, and after a restart
+    the next node sends its packets where that tag says.
+    """
+    node = TaggedNode(3)
+    tag = node.open_flow(1)
+    node.send_request(1, tag % 3 + 1)
+    assert node.list_forwarded()[0].tag == tag
+    node.send_request(1, tag, sequence=1101)
+    assert node.list_forwarded()[0].tag is None
+
+
 def test_retransmitted_syn_goes_elsewhere() -> None:
     """Retransmitted SYNs must not all go to the same unreachable backend."""
     node = TaggedNode(3)
