Tell other nodes which backend serves a retried flow

A SYN without an answer in time goes to a second backend. The first one may send its lost SYN+ACK again for about 10 s, and the client then sends the first one's echo until it hears the right backend.

The node that sees such a flow open now tells the nodes of its zone the flow's key and tag, and again each node that starts or comes back. They keep it for 12 s and write it into the flow's packets. A new SYN with the same ports ends it. Flows whose SYN went to one backend cost nothing.

--- a/apricottally/fields.py
+++ b/apricottally/fields.py
@@ -33,6 +33,8 @@
 IpAddress = Annotated[
     str, msgspec.Meta(pattern=rf'^{_OCTET}(?:[.]{_OCTET}){{3}}\Z')
 ]
+# Addresses and ports of a flow, as the packet codec has them.
+FlowKey = Annotated[bytes, msgspec.Meta(min_length=1, max_length=64)]
 # Requests or flows that one node has placed on a backend.
 LoadNumber = Annotated[int, msgspec.Meta(ge=0, le=_MAX_LOAD)]
 Rate = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
--- /dev/null
+++ b/apricottally/tagged/flowbackends/announcing.py
@@ -0,0 +1,65 @@
+"""Tells other nodes which backend serves a flow, and hears it from them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from apricottally.addresses import Endpoint
+from apricottally.tagged import messages
+from apricottally.tagged.effects import Effect, SendPeer
+from apricottally.tagged.flows import Flow
+from apricottally.tagged.messages import FlowAnnouncement, FlowBackend
+
+if TYPE_CHECKING:
+    from apricottally.tagged.state import NodeState
+
+# Flows in one datagram; a key has 12 bytes.
+MAX_FLOWS = 50
+
+
+def record_opened(state: NodeState, flow: Flow, now: float) -> None:
+    """Record an opened flow if its SYN went to several backends."""
+    if len(flow.tried_tags) > 1:
+        state.flows.backends.record_opened(flow.key, flow.tag, now)
+
+
+def tick(state: NodeState, now: float) -> list[Effect]:
+    """Announce the flows that have opened since the last tick.
+
+    The fabric sends the packets of a zone's clients to nodes of that zone.
+    """
+    flows = state.flows.backends.unannounced
+    if not flows:
+        return []
+    state.flows.backends.unannounced = []
+    receivers = [
+        neighbour.endpoint
+        for neighbour in state.gossip_targets.list_near(now)
+        if neighbour.peer.zone == state.config.zone
+    ]
+    return list(_build(flows, tuple(receivers))) if receivers else []
+
+
+def tell_new(state: NodeState, endpoint: Endpoint, now: float) -> list[Effect]:
+    """Tell a node that has just started or come back all that is known."""
+    return list(_build(state.flows.backends.list_all(now), (endpoint,)))
+
+
+def receive(
+    state: NodeState, announcement: FlowAnnouncement, now: float
+) -> list[Effect]:
+    """Record announced flows, except those whose SYN passed through here."""
+    for announced in announcement.flows:
+        flow = state.flows.by_key.get(announced.key)
+        if flow is None or flow.initial_sequence is None:
+            state.flows.backends.record(announced, now)
+    return []
+
+
+def _build(
+    flows: list[FlowBackend], dests: tuple[Endpoint, ...]
+) -> Iterator[SendPeer]:
+    for start in range(0, len(flows), MAX_FLOWS):
+        part = FlowAnnouncement(tuple(flows[start : start + MAX_FLOWS]))
+        yield SendPeer(dests, messages.encode(part))
--- a/apricottally/tagged/flows.py
+++ b/apricottally/tagged/flows.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from apricottally.tagged.catalogentry import Entry
+from apricottally.tagged.flowbackends.table import FlowBackends
 from apricottally.tagged.hedging.hedges import Hedge
 from apricottally.tagged.occupancy import Occupancy
 from apricottally.tagged.packets import FlowPacket
@@ -85,6 +86,8 @@
     # Start time and flow of each request, oldest first, until it is checked for
     # an answer; answered requests may still be in it.
     pending_requests: deque[tuple[float, Flow]] = field(default_factory=deque)
+    # Which backends serve the flows whose SYN went to several.
+    backends: FlowBackends = field(default_factory=FlowBackends)
 
     def insert(self, flow: Flow) -> None:
         """Add a new flow with a forwarded SYN, unless the table is full."""
--- a/apricottally/tagged/flowtracking.py
+++ b/apricottally/tagged/flowtracking.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from apricottally.tagged.flowbackends import announcing
 from apricottally.tagged.flows import Flow, is_after
 from apricottally.tagged.hedging import hedgedsyns
 from apricottally.tagged.packets import FIN, RST, FlowPacket
@@ -72,6 +73,7 @@
         state.durations.answer.add(now - flow.syn_sent_at)
     hedgedsyns.track_answer(state, flow, tag, now)
     state.flows.mark_established(flow, tag)
+    announcing.record_opened(state, flow, now)
     state.suspicion.record_response(tag, now)
     flow.acknowledged = packet.acknowledged
     flow.sent_end = packet.sequence
--- a/apricottally/tagged/heartbeats.py
+++ b/apricottally/tagged/heartbeats.py
@@ -10,7 +10,13 @@
 from apricottally.tagged.clocks import exchange
 from apricottally.tagged.effects import Effect, SendPeer, WriteLog
 from apricottally.tagged.events import PeerArrived
-from apricottally.tagged.messages import ClockRequest, Delta, Heartbeat
+from apricottally.tagged.flowbackends import announcing
+from apricottally.tagged.messages import (
+    ClockRequest,
+    Delta,
+    FlowAnnouncement,
+    Heartbeat,
+)
 from apricottally.tagged.neighbours import Neighbour
 from apricottally.tagged.occupancy import NeighbourReport
 from apricottally.tagged.zoneloads import sharing
@@ -54,6 +60,8 @@
         return dissemination.receive_delta(state, message, event.now)
     if isinstance(message, ClockRequest):
         return exchange.answer(state, message, event.source, event.now)
+    if isinstance(message, FlowAnnouncement):
+        return announcing.receive(state, message, event.now)
     exchange.receive_reply(state, message, event.now)
     return []
 
@@ -97,6 +105,8 @@
         endpoint = neighbour.endpoint
         effects.append(SendPeer((endpoint,), _encode(state, now)))
         effects.append(_log_neighbour(state, 'neighbour_found', name))
+        if heartbeat.sender.zone == state.config.zone:
+            effects += announcing.tell_new(state, endpoint, now)
     return effects
 
 
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -14,6 +14,7 @@
 from apricottally import decoding
 from apricottally.errors import DecodingError, WireError
 from apricottally.fields import (
+    FlowKey,
     IpAddress,
     LoadNumber,
     Number,
@@ -122,6 +123,19 @@
     received_ms: ClockReading
 
 
+class FlowBackend(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """The tag of the backend that serves the flow with a key."""
+
+    key: FlowKey
+    tag: Tag
+
+
+class FlowAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Flows whose SYN went to several backends, and which one serves them."""
+
+    flows: tuple[FlowBackend, ...]
+
+
 class SnapshotRequest(msgspec.Struct, frozen=True):
     """Request for records that are newer than those of the requesting node.
 
@@ -144,7 +158,9 @@
     changes: tuple[Change, ...]
 
 
-Message: TypeAlias = Heartbeat | Delta | ClockRequest | ClockReply
+Message: TypeAlias = (
+    Heartbeat | Delta | ClockRequest | ClockReply | FlowAnnouncement
+)
 _Decoded = TypeVar('_Decoded')
 
 _encoder = msgspec.msgpack.Encoder()
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -32,6 +32,7 @@
     SnapshotPulled,
     Ticked,
 )
+from apricottally.tagged.flowbackends import announcing
 from apricottally.tagged.hedging import hedgedsyns
 from apricottally.tagged.places import transitions
 from apricottally.tagged.queueing import admission
@@ -72,6 +73,7 @@
     if state.freshness.detect_outage(now):
         fields = state.freshness.describe(now)
         effects.append(WriteLog('records_stale', fields))
+    effects += announcing.tick(state, now)
     effects += heartbeats.tick(state, now)
     return effects + shutdown.tick(state, now)
 
@@ -98,6 +100,7 @@
     state.flows.purge(now, configuration.idle_timeout_ms / 1000)
     state.hedging.purge(now)
     state.clock_bounds.purge(now)
+    state.flows.backends.purge(now)
     for tag in state.catalog.purge_removed(now):
         state.suspicion.forget(tag)
         state.occupancy.forget(tag)
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -51,6 +51,7 @@
         return _handle_retransmitted_syn(state, flow, now)
     if state.config.max_wait_s:
         return admission.admit(state, packet, route, now)
+    state.flows.backends.forget(packet.key)
     entry = selection.select_backend(state, route, packet.key, now)
     if entry is None:
         return refusals.refuse_overloaded(state, packet, route, now)
@@ -77,13 +78,7 @@
     now: float,
 ) -> list[Effect]:
     flow = state.flows.by_key.get(packet.key)
-    tag = packet.tag
-    if flow is not None and flow.established and not flow.closed:
-        # If the SYN went to several backends, a late SYN-ACK of another backend
-        # may have changed the tag that the client sends. The flow's own tag is
-        # written into the packet, so that its backend returns that one: any
-        # other node knows the flow by its tag only.
-        tag = flow.tag
+    tag = _find_tag(state, flow, packet, now)
     entry = state.catalog.find_by_tag(tag)
     if entry is None or entry.backend is None:
         return refusals.refuse_unknown_backend(state, packet, now)
@@ -102,6 +97,25 @@
     return [Forward(entry.backend, packet.raw, written_tag)]
 
 
+def _find_tag(
+    state: NodeState, flow: Flow | None, packet: FlowPacket, now: float
+) -> int:
+    """Return the tag of the backend that serves the flow of a packet.
+
+    If the SYN went to several backends, a late SYN-ACK of another backend may
+    have changed the tag that the client sends. The flow's own tag is written
+    into the packet, so that its backend returns that one: most other nodes know
+    the flow by its tag only.
+    """
+    if flow is not None and flow.established and not flow.closed:
+        return flow.tag
+    if flow is None:
+        announced = state.flows.backends.find_tag(packet.key, now)
+        if announced is not None:
+            return announced
+    return packet.tag
+
+
 def _should_reset(
     state: NodeState,
     packet: FlowPacket,
