Reset no flow of a backend whose registration is only missing

A zone was cut off while the store was restored from a copy.

Cause: a missing entry was taken for a backend that is gone. removedbackends now asks for evidence: the backend had drained and has not answered since, its address is another one's, or it fails a probe. Until then packets are forwarded and a silent backend is probed. If the address is another one's, nothing is forwarded. A tag in no record is dropped in place of reset until the node has run for the lifetime of a flow, and after a restoration: the entry may be missing since before. A hash table of addresses replaces a search through all entries for each record.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Iterable
 
+from apricottally.tagged.addressindex import AddressIndex
 from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.places.candidates import (
     Candidates,
@@ -39,6 +40,7 @@
         '_by_name',
         '_by_tag',
         '_candidates',
+        'addresses',
         'configuration',
         'configuration_revision',
         'epoch_start',
@@ -46,6 +48,7 @@
         'purged_revision',
         'revision',
         'routes',
+        'was_restored',
     )
 
     def __init__(self) -> None:
@@ -63,6 +66,9 @@
         self.routes: dict[tuple[int, int], Route] = {}
         self._by_name: dict[str, Entry] = {}
         self._by_tag: dict[int, Entry] = {}
+        self.addresses = AddressIndex()
+        # Whether the platform was restored from a copy since the first records.
+        self.was_restored = False
         self.evacuations = Evacuations()
         self._candidates: Candidates | None = None
 
@@ -165,6 +171,7 @@
         ]
         for name in expired:
             entry = self._by_name.pop(name)
+            self.addresses.remove(entry)
             self.purged_revision = max(self.purged_revision, entry.revision)
             if entry.backend and self._by_tag.get(entry.backend.tag) is entry:
                 self._by_tag.pop(entry.backend.tag)
@@ -255,10 +262,15 @@
             entry.mark_removed(now, grace_s)
             return
         entry.removed_at = None
+        self.addresses.remove(entry)
         entry.backend = change.backend
+        self.addresses.add(entry)
         entry.cold_until = now + change.backend.cold_ms / 1000
         self._index_tag(entry)
-        _end_grace_of_reused(self.entries(), entry)
+        # The removed backends that had the address before are gone.
+        for other in self.addresses.list_others(entry):
+            if other.removed_at is not None:
+                other.usable_until = 0
 
     def _index_tag(self, entry: Entry) -> None:
         """Map the backend's tag to the entry unless a live backend has it."""
@@ -293,18 +305,3 @@
     """
     is_other_epoch = change.revision.epoch > entry.revision.epoch
     return is_other_epoch and change.revision <= epoch_start
-
-
-def _end_grace_of_reused(entries: Iterable[Entry], entry: Entry) -> None:
-    """End the grace period of removed backends whose address is reused."""
-    reusing = entry.backend
-    if reusing is None:
-        return
-    for other in entries:
-        if other is entry or other.removed_at is None or not other.backend:
-            continue
-        if (other.backend.ip, other.backend.port) == (
-            reusing.ip,
-            reusing.port,
-        ):
-            other.usable_until = 0
--- a/apricottally/tagged/catalogentry.py
+++ b/apricottally/tagged/catalogentry.py
@@ -27,6 +27,13 @@
     readable: bool = True
     cold_until: float = 0
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP and port of the backend; an empty one if none was readable."""
+        if self.backend is None:
+            return '', 0
+        return self.backend.ip, self.backend.port
+
     def excludes_new_flows(self, now: float) -> bool:
         """Tell whether the backend is removed and its grace period is over."""
         return self.removed_at is not None and now >= self.usable_until
--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -304,6 +304,7 @@
     if revision.epoch <= known_revision.epoch:
         return []
     state.catalog.epoch_start = revision
+    state.catalog.was_restored = True
     state.freshness.record_outage(now)
     state.counters.add('platform_restored', 'epoch')
     return [recordlogs.describe_restoration(state, revision)]
--- a/apricottally/tagged/refusals.py
+++ b/apricottally/tagged/refusals.py
@@ -6,7 +6,7 @@
 
 from apricottally.addresses import format_ip
 from apricottally.effects import LogValue
-from apricottally.tagged import coldstart
+from apricottally.tagged import coldstart, removedbackends
 from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import Effect, Reset, WriteLog
 from apricottally.tagged.packets import RST, FlowPacket
@@ -17,9 +17,6 @@
     from apricottally.tagged.state import NodeState
 
 
-# If the registration of a running backend expires, the backend renews it within
-# 2 s. A removal that has lasted longer is final.
-REMOVAL_CONFIRMATION_S = 2.5
 # Reasons for which a route has backends, but none that it may use.
 _EXCLUSIONS = frozenset(('evacuated', 'no_region'))
 
@@ -31,18 +28,10 @@
 ) -> list[Effect]:
     """Reset or drop a packet whose backend is in no record.
 
-    While this node's records may be out of date, or have only recently become
-    current, the backend may still exist: the packet is dropped, and the
-    client will retransmit it.
+    A packet that is dropped will be retransmitted by the client.
     """
-    records_settled = (
-        now - state.freshness.current_since >= REMOVAL_CONFIRMATION_S
-    )
-    if (
-        not packet.tag
-        or not records_settled
-        or not state.freshness.is_current(now)
-    ):
+    treatment = removedbackends.treat_unknown(state, now)
+    if not packet.tag or treatment is not removedbackends.Treatment.reset:
         state.counters.add('dropped', 'unknown_backend')
         return []
     return reset_flow(state, packet, 'backend_unknown', now)
@@ -115,14 +104,6 @@
     return [Reset(packet), WriteLog('refused', fields)]
 
 
-def is_removal_confirmed(state: NodeState, entry: Entry, now: float) -> bool:
-    """Tell whether a backend was removed too long ago to register again."""
-    removed_at = entry.removed_at
-    if removed_at is None or now - removed_at < REMOVAL_CONFIRMATION_S:
-        return False
-    return state.freshness.is_current(now)
-
-
 def build_selection_log(
     state: NodeState,
     event: str,
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -11,7 +11,9 @@
 from apricottally.tagged import (
     flowtracking,
     openings,
+    probing,
     refusals,
+    removedbackends,
     retrying,
     selection,
 )
@@ -21,6 +23,7 @@
 from apricottally.tagged.packets import ACK, SYN, FlowPacket
 from apricottally.tagged.queueing import admission
 from apricottally.tagged.records import Repetition, Route
+from apricottally.tagged.removedbackends import Treatment
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -82,19 +85,25 @@
     entry = state.catalog.find_by_tag(tag)
     if entry is None or entry.backend is None:
         return refusals.refuse_unknown_backend(state, packet, now)
+    treatment = removedbackends.treat_removed(state, entry, now)
+    if treatment is Treatment.drop:
+        state.counters.add('dropped', 'address_reused')
+        return []
     route = state.catalog.routes.get((packet.address, packet.port))
     if route is None:
         return refusals.refuse_unrouted(state, packet, now)
-    if entry.removed_at is not None and refusals.is_removal_confirmed(
-        state, entry, now
-    ):
+    if treatment is Treatment.reset:
         return refusals.reset_flow(state, packet, 'backend_gone', now)
     if flowtracking.track_packet(state, flow, packet, tag, route, now):
         state.demand.count_request(entry.backend.service, route.priority, now)
     if packet.length and _should_reset(state, packet, tag, route, now):
         return refusals.reset_flow(state, packet, 'backend_unreachable', now)
     written_tag = None if tag == packet.tag else tag
-    return [Forward(entry.backend, packet.raw, written_tag)]
+    forward = Forward(entry.backend, packet.raw, written_tag)
+    if not removedbackends.needs_probe(state, entry, now):
+        return [forward]
+    since = now - removedbackends.CONFIRMATION_S
+    return [forward, *probing.request_probe(state, tag, since, now)]
 
 
 def _find_tag(
