Give backends that share a tag one each

Ids of more than 32 bits are hashed to a tag.

TagTable gives each backend a tag of its own: the one that started first (born, then id) keeps the hash, the other takes its next hash that is free. The result depends on the set of backends only, not on the order. A node that has not heard of a backend that is gone may know its twin by another tag; tags that no entry has are looked up among the first two of all entries. Messages between nodes carry the record's own tag.

Where entries have no born, the lower id keeps the tag, also if it came later.

--- a/apricottally/tagged/catalog.py
+++ b/apricottally/tagged/catalog.py
@@ -28,6 +28,7 @@
     Route,
 )
 from apricottally.tagged.revisions import NO_REVISION, Revision
+from apricottally.tagged.tagtable import TagTable
 
 # Must exceed the lifetime of a flow at a removed backend.
 REMOVED_RETENTION_S = 120.0
@@ -38,7 +39,6 @@
 
     __slots__ = (
         '_by_name',
-        '_by_tag',
         '_candidates',
         'addresses',
         'configuration',
@@ -48,6 +48,7 @@
         'purged_revision',
         'revision',
         'routes',
+        'tags',
         'was_restored',
     )
 
@@ -65,7 +66,7 @@
         self.configuration_revision = NO_REVISION
         self.routes: dict[tuple[int, int], Route] = {}
         self._by_name: dict[str, Entry] = {}
-        self._by_tag: dict[int, Entry] = {}
+        self.tags = TagTable()
         self.addresses = AddressIndex()
         # Whether the platform was restored from a copy since the first records.
         self.was_restored = False
@@ -124,7 +125,7 @@
 
     def find_by_tag(self, tag: int) -> Entry | None:
         """Return the entry of the backend that a tag identifies in packets."""
-        return self._by_tag.get(tag)
+        return self.tags.find(tag, self.entries())
 
     def list_candidates(
         self,
@@ -173,9 +174,9 @@
             entry = self._by_name.pop(name)
             self.addresses.remove(entry)
             self.purged_revision = max(self.purged_revision, entry.revision)
-            if entry.backend and self._by_tag.get(entry.backend.tag) is entry:
-                self._by_tag.pop(entry.backend.tag)
-                tags.append(entry.backend.tag)
+            tag = self.tags.remove(entry)
+            if tag is not None:
+                tags.append(tag)
         if expired:
             self._candidates = None
         return tags
@@ -193,7 +194,7 @@
             BackendChange(
                 name,
                 entry.revision,
-                entry.backend if entry.is_registered() else None,
+                entry.record if entry.is_registered() else None,
                 entry.readable,
             )
             for name, entry in self._by_name.items()
@@ -263,35 +264,25 @@
             return
         entry.removed_at = None
         self.addresses.remove(entry)
+        self.tags.remove(entry)
+        entry.record = change.backend
         entry.backend = change.backend
         self.addresses.add(entry)
+        self.tags.add(entry)
         entry.cold_until = now + change.backend.cold_ms / 1000
-        self._index_tag(entry)
         # The removed backends that had the address before are gone.
         for other in self.addresses.list_others(entry):
             if other.removed_at is not None:
                 other.usable_until = 0
 
-    def _index_tag(self, entry: Entry) -> None:
-        """Map the backend's tag to the entry unless a live backend has it."""
-        if entry.backend is None:
-            return
-        current = self._by_tag.get(entry.backend.tag)
-        if current is None or current is entry or not current.is_registered():
-            self._by_tag[entry.backend.tag] = entry
-
     def _is_candidate(self, entry: Entry) -> bool:
         """Tell whether a backend is a candidate for new flows.
 
-        The end of a grace period and evacuations are not checked here. If two
-        backends have the same tag, only the one that the tag is mapped to gets
-        new flows.
+        The end of a grace period and evacuations are not checked here.
         """
         backend = entry.backend
         if backend is None or backend.draining or not entry.readable:
             return False
-        if self._by_tag.get(backend.tag) is not entry:
-            return False
         return entry.removed_at is None or entry.usable_until > 0
 
 
--- a/apricottally/tagged/catalogentry.py
+++ b/apricottally/tagged/catalogentry.py
@@ -12,7 +12,9 @@
 class Entry:
     """The catalog's entry for one backend name.
 
-    `backend` is the latest readable record and is kept after its removal.
+    `record` is the latest readable record and is kept after its removal.
+    `backend` is the same with the tag that packets carry: another one if the
+    tag in the record is another backend's, `tag_attempt` hashes further on.
     `removed_at` is when this node learned of the removal. Until
     `usable_until`, a removed backend may get new flows, because its
     registration may only have lapsed. A backend whose record is not
@@ -26,6 +28,8 @@
     usable_until: float = 0
     readable: bool = True
     cold_until: float = 0
+    record: Backend | None = None
+    tag_attempt: int = 0
 
     @property
     def address(self) -> tuple[str, int]:
@@ -52,7 +56,7 @@
 
     def is_repeated_by(self, change: BackendChange) -> bool:
         """Tell whether a change has the registration that is known."""
-        return self.is_registered() and change.backend == self.backend
+        return self.is_registered() and change.backend == self.record
 
     def outdates(self, change: BackendChange) -> bool:
         """Tell whether a record of another epoch precedes what is known.
--- a/apricottally/tagged/coldreview.py
+++ b/apricottally/tagged/coldreview.py
@@ -35,11 +35,12 @@
     """Drop what is known of backends that are gone or warm."""
     cold_starts = state.cold_starts
     catalog = state.catalog
-    tags = cold_starts.starts.keys() | cold_starts.silences.keys()
-    for tag in tags:
+    for tag in list(cold_starts.silences):
         if catalog.find_by_tag(tag) is None:
-            cold_starts.starts.pop(tag, None)
-            cold_starts.silences.pop(tag, None)
+            cold_starts.silences.pop(tag)
+    for name in list(cold_starts.starts):
+        if catalog.find_by_name(name) is None:
+            cold_starts.starts.pop(name)
     names = {resource.decode() for resource in cold_starts.permits.resources()}
     for name in names | cold_starts.logged_at.keys():
         entry = catalog.find_by_name(name)
--- a/apricottally/tagged/coldstart.py
+++ b/apricottally/tagged/coldstart.py
@@ -81,17 +81,18 @@
 
 @dataclass(slots=True)
 class ColdStarts:
-    """Which backends are cold, by tag, and the permits for them.
+    """Which backends are cold, and the permits for them.
 
-    `refused` has the refusals to log, with the held permits; `logged_at` is by
-    backend name. `newest_born_ms` is the newest start in any record, as a lower
-    bound of the time of day.
+    `starts` are by backend name, `silences` by tag. `refused` has the refusals
+    to log, with the held permits; `logged_at` is by backend name.
+    `newest_born_ms` is the newest start in any record, as a lower bound of the
+    time of day.
     """
 
     membership: Membership
     permits: Permits = field(default_factory=Permits)
     newest_born_ms: int = 0
-    starts: dict[int, Start] = field(default_factory=dict)
+    starts: dict[str, Start] = field(default_factory=dict)
     silences: dict[int, Silence] = field(default_factory=dict)
     refused: list[WriteLog] = field(default_factory=list)
     logged_at: dict[str, float] = field(default_factory=dict)
@@ -209,13 +210,12 @@
     known = None if entry is None else entry.backend
     is_first = known is None and state.catalog.revision != NO_REVISION
     if is_first or (known is not None and backend.born_ms > known.born_ms):
-        cold_starts.silences.pop(backend.tag, None)
-        cold_starts.starts[backend.tag] = Start(
+        cold_starts.starts[change.name] = Start(
             now, backend.born_ms, is_certain=known is not None
         )
-    elif known is not None and backend.order > known.order:
-        # It was written after the silence and by the same process.
-        cold_starts.silences.pop(backend.tag, None)
+    if known is not None and backend.order > known.order:
+        # It was written after the silence.
+        cold_starts.silences.pop(known.tag, None)
 
 
 def record_unreachable(state: NodeState, tag: int, now: float) -> None:
@@ -239,7 +239,7 @@
 ) -> bool:
     cold_starts = state.cold_starts
     cold_s = service.cold_start_ms / 1000
-    start = cold_starts.starts.get(backend.tag)
+    start = cold_starts.starts.get(backend.name)
     silence = cold_starts.silences.get(backend.tag)
     return (
         now < entry.cold_until
--- a/apricottally/tagged/recordlogs.py
+++ b/apricottally/tagged/recordlogs.py
@@ -110,7 +110,7 @@
     else:
         entry = catalog.find_by_name(change.name) or Entry(NO_REVISION, None)
         known_revision = entry.revision
-        registered = entry.backend if entry.is_registered() else None
+        registered = entry.record if entry.is_registered() else None
         same = change.backend == registered
     if same:
         return ''
