Move the applying of records out of dissemination

Functions are moved and renamed, nothing else changes; the tests of records, restorations, ages and fleets pass.

--- a/apricottally/tagged/dissemination.py
+++ b/apricottally/tagged/dissemination.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from apricottally.effects import LogValue
-from apricottally.tagged import coldstart, messages, recordlogs
+from apricottally.tagged import applying, messages, recordlogs
 from apricottally.tagged.clocks import exchange
 from apricottally.tagged.clocks.asof import AsOf
 from apricottally.tagged.effects import (
@@ -50,10 +50,14 @@
 def apply_list(state: NodeState, event: RecordsListed) -> list[Effect]:
     """Apply a complete list from the platform and relay what changed."""
     known_revision = state.catalog.revision
-    effects = _start_epoch(state, event.revision, event.now)
-    logs, applied = _apply(state, event.changes, PLATFORM, event.now)
+    effects = applying.start_epoch(state, event.revision, event.now)
+    logs, applied = applying.apply_changes(
+        state, event.changes, PLATFORM, event.now
+    )
     effects += logs
-    missing = _remove_missing(state, event.changes, event.revision, event.now)
+    missing = applying.remove_missing(
+        state, event.changes, event.revision, event.now
+    )
     effects += [
         recordlogs.describe_missing(state, name, event.now) for name in missing
     ]
@@ -62,7 +66,7 @@
     )
     effects += transitions.describe_all(state, ended, event.now)
     as_of = AsOf(event.requested_at, PLATFORM)
-    _advance_revision(state, event.revision, as_of, event.now)
+    applying.advance_revision(state, event.revision, as_of, event.now)
     if event.revision.epoch != known_revision.epoch:
         # Others cannot apply a difference between two epochs.
         state.heartbeat_due = True
@@ -89,7 +93,9 @@
     state: NodeState, event: RecordsChanged
 ) -> list[Effect]:
     """Apply the changes from a watch of the platform and relay them."""
-    effects, _ = _apply(state, event.changes, PLATFORM, event.now)
+    effects, _ = applying.apply_changes(
+        state, event.changes, PLATFORM, event.now
+    )
     known_revision = state.catalog.revision
     if event.after > known_revision:
         return effects
@@ -100,7 +106,7 @@
         # Without changes, the platform answers only after the full wait.
         confirmed_at = min(confirmed_at + state.config.watch_wait_s, event.now)
     as_of = AsOf(confirmed_at, PLATFORM)
-    _advance_revision(state, event.revision, as_of, event.now)
+    applying.advance_revision(state, event.revision, as_of, event.now)
     if not event.changes:
         return effects
     delta = _build_delta(
@@ -131,8 +137,10 @@
         if delta.revision == known_revision:
             state.freshness.confirm(as_of, now)
         return []
-    effects, _ = _apply(state, delta.changes, f'delta {delta.sender}', now)
-    _advance_revision(state, delta.revision, as_of, now)
+    effects, _ = applying.apply_changes(
+        state, delta.changes, f'delta {delta.sender}', now
+    )
+    applying.advance_revision(state, delta.revision, as_of, now)
     near = state.gossip_targets.list_near(now)
     relayed = _build_delta(
         state, delta.after, delta.revision, delta.changes, now
@@ -197,19 +205,23 @@
     if not snapshot.complete and _is_other_epoch(state, snapshot.revision):
         # The node entered another epoch after it had requested the snapshot.
         return []
-    effects = _start_epoch(state, snapshot.revision, event.now)
+    effects = applying.start_epoch(state, snapshot.revision, event.now)
     as_of = AsOf(event.requested_at, f'snapshot {event.peer}')
-    logs, _ = _apply(state, snapshot.changes, as_of.source, event.now)
+    logs, _ = applying.apply_changes(
+        state, snapshot.changes, as_of.source, event.now
+    )
     effects += logs
     if snapshot.complete:
-        _remove_missing(state, snapshot.changes, snapshot.revision, event.now)
+        applying.remove_missing(
+            state, snapshot.changes, snapshot.revision, event.now
+        )
         ended = transitions.end_missing(
             state, snapshot.changes, snapshot.revision, event.now
         )
         effects += transitions.describe_all(state, ended, event.now)
     if snapshot.revision > state.catalog.revision:
         state.heartbeat_due = True
-    _advance_revision(
+    applying.advance_revision(
         state, snapshot.revision, confirm_as_of(as_of, snapshot), event.now
     )
     return effects
@@ -235,113 +247,10 @@
     )
 
 
-def _apply(
-    state: NodeState,
-    changes: tuple[Change, ...],
-    source: str,
-    now: float,
-) -> tuple[list[Effect], list[Change]]:
-    """Apply changes; return log effects and the changes that were new."""
-    grace_s = state.freshness.lapse_grace_s(now)
-    version = state.configuration_version
-    if changes and state.catalog.revision != NO_REVISION:
-        state.durations.in_force.add(now - state.freshness.confirmed_at)
-    for change in changes:
-        _clear_suspicion_on_restart(state, change)
-        coldstart.observe_change(state, change, now)
-    applied: list[Change] = []
-    logs: list[Effect] = []
-    for change in changes:
-        if state.catalog.apply(change, now, grace_s):
-            applied.append(change)
-            logs.append(recordlogs.describe_change(state, change, source, now))
-        else:
-            logs += _report_ignored(state, change)
-    state.invariants.check(
-        'configuration_version_monotone',
-        holds=state.configuration_version >= version,
-        detail=(version, state.configuration_version),
-    )
-    return logs, applied
-
-
-def _report_ignored(state: NodeState, change: Change) -> list[Effect]:
-    """Count and log a change that was not applied, unless it is known."""
-    reason = recordlogs.explain_ignored(state.catalog, change)
-    if not reason:
-        return []
-    state.counters.add('change_ignored', reason)
-    return [recordlogs.describe_ignored(state, change, reason)]
-
-
-def _clear_suspicion_on_restart(state: NodeState, change: Change) -> None:
-    """Clear the suspicion of a backend that has restarted."""
-    if not isinstance(change, BackendChange) or change.backend is None:
-        return
-    entry = state.catalog.find_by_name(change.name)
-    if entry is None or entry.backend is None:
-        return
-    if entry.backend.born_ms < change.backend.born_ms:
-        state.suspicion.forget(entry.backend.tag)
-
-
 def _is_other_epoch(state: NodeState, revision: Revision) -> bool:
     return revision.epoch != state.catalog.revision.epoch
 
 
-def _start_epoch(
-    state: NodeState, revision: Revision, now: float
-) -> list[Effect]:
-    """Prepare for the first records of an epoch that this node has not seen.
-
-    The platform was away and has lost changes: registrations may be missing
-    until the backends write them again.
-    """
-    known_revision = state.catalog.revision
-    if known_revision == NO_REVISION:
-        state.catalog.epoch_start = revision
-        return []
-    if revision.epoch <= known_revision.epoch:
-        return []
-    state.catalog.epoch_start = revision
-    state.catalog.was_restored = True
-    state.freshness.record_outage(now)
-    state.counters.add('platform_restored', 'epoch')
-    return [recordlogs.describe_restoration(state, revision)]
-
-
-def _remove_missing(
-    state: NodeState,
-    changes: tuple[Change, ...],
-    revision: Revision,
-    now: float,
-) -> list[str]:
-    """Remove the backends that a complete list lacks; return their names."""
-    if revision.epoch < state.catalog.revision.epoch:
-        return []
-    names = [
-        change.name
-        for change in changes
-        if isinstance(change, BackendChange)
-        and (change.backend is not None or not change.readable)
-    ]
-    grace_s = state.freshness.lapse_grace_s(now)
-    return state.catalog.remove_missing(names, revision, now, grace_s)
-
-
-def _advance_revision(
-    state: NodeState,
-    revision: Revision,
-    as_of: AsOf | None,
-    now: float,
-) -> None:
-    if revision < state.catalog.revision:
-        return
-    state.catalog.revision = revision
-    state.freshness.confirm(as_of, now)
-    state.behind_since = None
-
-
 def _build_delta(
     state: NodeState,
     after: Revision,
