Tell nodes of all zones which backend serves a retried flow

Callers saw open flows reset during planned restarts. The node that saw the flow open told only nodes of its own zone. A zone with a single node has none: while it restarts, its clients' packets go to other zones, and after its start nobody tells it.

In a small fleet, all nodes are told now, and any of them tells a node that has started. In a large fleet the announcements stay within the zone.

--- a/apricottally/tagged/flowbackends/announcing.py
+++ b/apricottally/tagged/flowbackends/announcing.py
@@ -10,6 +10,7 @@
 from apricottally.tagged.effects import Effect, SendPeer
 from apricottally.tagged.flows import Flow
 from apricottally.tagged.messages import FlowAnnouncement, FlowBackend
+from apricottally.tagged.neighbours import Neighbour
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -27,23 +28,29 @@
 def tick(state: NodeState, now: float) -> list[Effect]:
     """Announce the flows that have opened since the last tick.
 
-    The fabric sends the packets of a zone's clients to nodes of that zone.
+    The fabric sends the packets of a zone's clients to nodes of that zone, or
+    of other zones while none of it is ready. In a large fleet only nodes of
+    the same zone are told: a whole zone of it is hardly ever away.
     """
     flows = state.flows.backends.unannounced
     if not flows:
         return []
     state.flows.backends.unannounced = []
     receivers = [
-        neighbour.endpoint
-        for neighbour in state.gossip_targets.list_near(now)
-        if neighbour.peer.zone == state.config.zone
+        neighbour.endpoint for neighbour in state.gossip_targets.list_near(now)
     ]
     return list(_build(flows, tuple(receivers))) if receivers else []
 
 
-def tell_new(state: NodeState, endpoint: Endpoint, now: float) -> list[Effect]:
+def tell_new(
+    state: NodeState, neighbour: Neighbour, now: float
+) -> list[Effect]:
     """Tell a node that has just started or come back all that is known."""
-    return list(_build(state.flows.backends.list_all(now), (endpoint,)))
+    is_same_zone = neighbour.peer.zone == state.config.zone
+    if not (is_same_zone or state.neighbours.is_small(now)):
+        return []
+    flows = state.flows.backends.list_all(now)
+    return list(_build(flows, (neighbour.endpoint,)))
 
 
 def receive(
--- a/apricottally/tagged/heartbeats.py
+++ b/apricottally/tagged/heartbeats.py
@@ -105,8 +105,7 @@
         endpoint = neighbour.endpoint
         effects.append(SendPeer((endpoint,), _encode(state, now)))
         effects.append(_log_neighbour(state, 'neighbour_found', name))
-        if heartbeat.sender.zone == state.config.zone:
-            effects += announcing.tell_new(state, endpoint, now)
+        effects += announcing.tell_new(state, neighbour, now)
     return effects
 
 
