Know the backend of a retried flow until its client can't be idle any more

An open flow could be reset when its client had paused. Which backend serves a retried flow was kept for 12 s, the time for which a losing backend may repeat its SYN-ACK. The client may then be idle for 15 s more before it sends that backend's tag, and the flow may have moved to another node meanwhile. A node that had only been told of the flow passed it on with a new life of 12 s, so that there was no upper limit either.

The time is now 12 s and the idle timeout of the configuration, counted from the opening: announcements carry the age of the flow. The table has twice as many places, as flows stay about twice as long.

--- a/apricottally/tagged/flowbackends/announcing.py
+++ b/apricottally/tagged/flowbackends/announcing.py
@@ -32,10 +32,12 @@
     of other zones while none of it is ready. In a large fleet only nodes of
     the same zone are told: a whole zone of it is hardly ever away.
     """
-    flows = state.flows.backends.unannounced
-    if not flows:
+    backends = state.flows.backends
+    if not backends.unannounced:
         return []
-    state.flows.backends.unannounced = []
+    found = [backends.describe(key, now) for key in backends.unannounced]
+    flows = [flow for flow in found if flow is not None]
+    backends.unannounced = []
     receivers = [
         neighbour.endpoint for neighbour in state.gossip_targets.list_near(now)
     ]
@@ -49,7 +51,7 @@
     is_same_zone = neighbour.peer.zone == state.config.zone
     if not (is_same_zone or state.neighbours.is_small(now)):
         return []
-    flows = state.flows.backends.list_all(now)
+    flows = state.flows.backends.describe_all(now)
     return list(_build(flows, (neighbour.endpoint,)))
 
 
--- a/apricottally/tagged/flowbackends/table.py
+++ b/apricottally/tagged/flowbackends/table.py
@@ -7,37 +7,44 @@
 from apricottally.tagged.messages import FlowBackend
 
 # A losing backend sends its SYN-ACK again 8 times, 0.2 to 1.6 s apart.
-LIFETIME_S = 12.0
-MAX_FLOWS = 2_000
+SYN_ACK_LIFETIME_S = 12.0
+# Longest pause of a client between two packets, before the configuration that
+# states it is known.
+DEFAULT_IDLE_S = 15.0
+MAX_FLOWS = 4_000
 
 
 @dataclass(frozen=True, slots=True)
 class _Entry:
     tag: int
-    ends_at: float
+    opened_at: float
 
 
 class FlowBackends:
     """Tags of the backends that serve flows, by flow key, oldest first.
 
-    `unannounced` are the flows that other nodes have not been told of.
+    After the last SYN-ACK of a losing backend, the client may pause for
+    `idle_s` before it sends that backend's tag. The answer to that packet then
+    brings the right one. `unannounced` are the flows that other nodes have not
+    been told of.
     """
 
-    __slots__ = ('_by_key', 'unannounced')
+    __slots__ = ('_by_key', 'idle_s', 'unannounced')
 
     def __init__(self) -> None:
         self._by_key: dict[bytes, _Entry] = {}
-        self.unannounced: list[FlowBackend] = []
+        self.idle_s = DEFAULT_IDLE_S
+        self.unannounced: list[bytes] = []
 
     def record_opened(self, key: bytes, tag: int, now: float) -> None:
         """Record a flow that this node has seen open."""
         self.record(FlowBackend(key, tag), now)
-        self.unannounced.append(FlowBackend(key, tag))
+        self.unannounced.append(key)
 
     def record(self, flow: FlowBackend, now: float) -> None:
         """Record a flow that another node has seen open."""
         self._by_key.pop(flow.key, None)
-        self._by_key[flow.key] = _Entry(flow.tag, now + LIFETIME_S)
+        self._by_key[flow.key] = _Entry(flow.tag, now - flow.age_ms / 1000)
         if len(self._by_key) > MAX_FLOWS:
             self._by_key.pop(next(iter(self._by_key)))
 
@@ -48,22 +55,33 @@
     def find_tag(self, key: bytes, now: float) -> int | None:
         """Return the tag of the backend that serves a flow, if it is known."""
         entry = self._by_key.get(key)
-        if entry is None or now >= entry.ends_at:
+        if entry is None or self._is_over(entry, now):
             return None
         return entry.tag
 
-    def list_all(self, now: float) -> list[FlowBackend]:
-        """Return all flows that are known."""
-        return [
-            FlowBackend(key, entry.tag)
-            for key, entry in self._by_key.items()
-            if now < entry.ends_at
-        ]
+    def describe(self, key: bytes, now: float) -> FlowBackend | None:
+        """Return what other nodes are told of a flow, if it is known."""
+        entry = self._by_key.get(key)
+        if entry is None or self._is_over(entry, now):
+            return None
+        age_ms = max(round((now - entry.opened_at) * 1000), 0)
+        return FlowBackend(key, entry.tag, age_ms)
 
-    def purge(self, now: float) -> None:
-        """Drop the flows whose time is over."""
+    def describe_all(self, now: float) -> list[FlowBackend]:
+        """Return what other nodes are told of all flows that are known."""
+        found = [self.describe(key, now) for key in self._by_key]
+        return [flow for flow in found if flow is not None]
+
+    def purge(self, idle_s: float, now: float) -> None:
+        """Drop the flows whose time is over; `idle_s` is the longest pause."""
+        self.idle_s = idle_s
         expired = [
-            key for key, entry in self._by_key.items() if now >= entry.ends_at
+            key
+            for key, entry in self._by_key.items()
+            if self._is_over(entry, now)
         ]
         for key in expired:
             self._by_key.pop(key)
+
+    def _is_over(self, entry: _Entry, now: float) -> bool:
+        return now - entry.opened_at >= SYN_ACK_LIFETIME_S + self.idle_s
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -124,10 +124,14 @@
 
 
 class FlowBackend(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """The tag of the backend that serves the flow with a key."""
+    """The tag of the backend that serves the flow with a key.
+
+    `age_ms` is the time since the flow was opened.
+    """
 
     key: FlowKey
     tag: Tag
+    age_ms: AgeMs = 0
 
 
 class FlowAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -97,10 +97,11 @@
     configuration = state.catalog.configuration
     if configuration is None:
         return
-    state.flows.purge(now, configuration.idle_timeout_ms / 1000)
+    idle_s = configuration.idle_timeout_ms / 1000
+    state.flows.purge(now, idle_s)
     state.hedging.purge(now)
     state.clock_bounds.purge(now)
-    state.flows.backends.purge(now)
+    state.flows.backends.purge(idle_s, now)
     for tag in state.catalog.purge_removed(now):
         state.suspicion.forget(tag)
         state.occupancy.forget(tag)
--- a/tests/test_tagged_flowbackends.py
+++ b/tests/test_tagged_flowbackends.py
@@ -61,3 +61,29 @@
     assert (sent.backend.tag, sent.tag) == (tag, tag)
     sent = send_data(fleet, 'n0', wrong)
     assert (sent.backend.tag, sent.tag) == (tag, tag)
+
+
+@pytest.mark.parametrize(
+    ('paused_s', 'is_known'), [(11, True), (24, True), (28, False)]
+)
+@pytest.mark.parametrize('relayed', [False, True])
+def test_flow_whose_client_pauses(paused_s, is_known, relayed) -> None:
+    """Guards against a reset of a retried flow after a pause of its client.
+
+    The losing backend may send its SYN-ACK for 9.4 s, and the client may then
+    be idle for 15 s. A node that is told of the flow by one that has only heard
+    of it knows it no longer than the others.
+    """
+    fleet = start_fleet(3, 'a')
+    wrong, tag = open_retried(fleet, 'n0')
+    fleet.run(1)
+    if relayed:
+        fleet.kill('n0')
+        fleet.kill('n1')
+        fleet.run(9)
+        fleet.start('n1')
+        fleet.run(paused_s - 10)
+    else:
+        fleet.run(paused_s - 1)
+    sent = send_data(fleet, 'n1', wrong)
+    assert sent.backend.tag == (tag if is_known else wrong)
