Announce flows of which another node may have forwarded the SYN

An open flow could be reset although its SYN was never retried. If the nodes of a zone change between a SYN and its copy, two nodes select a backend each and know of one only, so that neither tells the others which one serves the flow. The first node also ignored what the second one told it, as the SYN had passed through there. A copy that came after the opening even made a third node select one more backend.

Announcements carry the sequence number of the SYN now. A flow is announced if only a copy of its SYN came through the node, or if it opened at a backend that the node did not select. A node takes an announcement of the same SYN unless it has seen the flow open, drops later copies of that SYN, and takes a packet far from it for one of a later flow with the same ports. The tag of a closed flow is looked up as well.

test_other_nodes_know_which_backend_serves moves to test_tagged_flowbackends.

--- a/apricottally/fields.py
+++ b/apricottally/fields.py
@@ -24,6 +24,7 @@
     str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_CHARACTERS)
 ]
 Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
+SequenceNumber = Annotated[int, msgspec.Meta(ge=0, le=_MAX_UINT32)]
 Tag = Annotated[int, msgspec.Meta(ge=0, le=_MAX_UINT32)]
 # Up to 64 bits; the encoding has no larger integers.
 BackendNumber = Annotated[int, msgspec.Meta(ge=1)]
--- a/apricottally/tagged/flowbackends/announcing.py
+++ b/apricottally/tagged/flowbackends/announcing.py
@@ -21,11 +21,13 @@
 
 
 def record_opened(state: NodeState, flow: Flow, now: float) -> None:
-    """Record an opened flow if its SYN went to several backends."""
-    if len(flow.tried_tags) > 1:
-        state.flows.backends.record(FlowBackend(flow.key, flow.tag), now)
-        for delay_s in REPETITION_DELAYS_S:
-            state.flows.announcements.add_flow(flow.key, now + delay_s)
+    """Record an opened flow if its SYN may have gone to several backends."""
+    if flow.initial_sequence is None or not flow.may_be_half_open_elsewhere:
+        return
+    opened = FlowBackend(flow.key, flow.tag, flow.initial_sequence)
+    state.flows.backends.record(opened, now)
+    for delay_s in REPETITION_DELAYS_S:
+        state.flows.announcements.add_flow(flow.key, now + delay_s)
 
 
 def tick(state: NodeState, now: float) -> list[Effect]:
@@ -60,14 +62,22 @@
 def receive(
     state: NodeState, announcement: FlowAnnouncement, now: float
 ) -> list[Effect]:
-    """Record announced flows, except those whose SYN passed through here."""
+    """Record announced flows, except those that this node knows better."""
     for announced in announcement.flows:
         flow = state.flows.by_key.get(announced.key)
-        if flow is None or flow.initial_sequence is None:
+        if flow is None or not _is_known_better(flow, announced):
             state.flows.backends.record(announced, now)
     return []
 
 
+def _is_known_better(flow: Flow, announced: FlowBackend) -> bool:
+    """Tell whether this node has seen the flow open, or a later one begin."""
+    if flow.initial_sequence is None:
+        return False
+    is_other = flow.initial_sequence != announced.initial_sequence
+    return is_other or flow.established
+
+
 def _describe(
     state: NodeState, keys: tuple[bytes, ...], now: float
 ) -> list[FlowBackend]:
--- a/apricottally/tagged/flowbackends/table.py
+++ b/apricottally/tagged/flowbackends/table.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from apricottally.tagged.messages import FlowBackend
+from apricottally.tagged.packets import FlowPacket
 
 # A losing backend sends its SYN-ACK again 8 times, 0.2 to 1.6 s apart.
 SYN_ACK_LIFETIME_S = 12.0
@@ -12,13 +13,23 @@
 # states it is known.
 DEFAULT_IDLE_S = 15.0
 MAX_FLOWS = 4_000
+# A packet further than this from a flow's SYN belongs to a later flow with the
+# same ports.
+MAX_SENT_BYTES = 1 << 24
+_SEQUENCE_RANGE = 1 << 32
 
 
 @dataclass(frozen=True, slots=True)
 class _Entry:
     tag: int
+    initial_sequence: int
     opened_at: float
 
+    def includes(self, packet: FlowPacket) -> bool:
+        """Tell whether a packet may belong to the flow, by its sequence."""
+        sent = packet.sequence - self.initial_sequence
+        return sent % _SEQUENCE_RANGE <= MAX_SENT_BYTES
+
 
 class FlowBackends:
     """Tags of the backends that serve flows, by flow key, oldest first.
@@ -37,7 +48,9 @@
     def record(self, flow: FlowBackend, now: float) -> None:
         """Record a flow that a node has seen open."""
         self._by_key.pop(flow.key, None)
-        self._by_key[flow.key] = _Entry(flow.tag, now - flow.age_ms / 1000)
+        opened_at = now - flow.age_ms / 1000
+        entry = _Entry(flow.tag, flow.initial_sequence, opened_at)
+        self._by_key[flow.key] = entry
         if len(self._by_key) > MAX_FLOWS:
             self._by_key.pop(next(iter(self._by_key)))
 
@@ -45,20 +58,28 @@
         """Drop a flow, as its client has begun another one."""
         self._by_key.pop(key, None)
 
-    def find_tag(self, key: bytes, now: float) -> int | None:
-        """Return the tag of the backend that serves a flow, if it is known."""
-        entry = self._by_key.get(key)
-        if entry is None or self._is_over(entry, now):
+    def find_tag(self, packet: FlowPacket, now: float) -> int | None:
+        """Return the tag of the backend that serves a packet's flow.
+
+        Returns None if it is not known.
+        """
+        entry = self._find(packet.key, now)
+        if entry is None or not entry.includes(packet):
             return None
         return entry.tag
 
+    def has_opened(self, syn: FlowPacket, now: float) -> bool:
+        """Tell whether the flow of a SYN is known to be open."""
+        entry = self._find(syn.key, now)
+        return entry is not None and entry.initial_sequence == syn.sequence
+
     def describe(self, key: bytes, now: float) -> FlowBackend | None:
         """Return what other nodes are told of a flow, if it is known."""
-        entry = self._by_key.get(key)
-        if entry is None or self._is_over(entry, now):
+        entry = self._find(key, now)
+        if entry is None:
             return None
         age_ms = max(round((now - entry.opened_at) * 1000), 0)
-        return FlowBackend(key, entry.tag, age_ms)
+        return FlowBackend(key, entry.tag, entry.initial_sequence, age_ms)
 
     def describe_all(self, now: float) -> list[FlowBackend]:
         """Return what other nodes are told of all flows that are known."""
@@ -76,5 +97,11 @@
         for key in expired:
             self._by_key.pop(key)
 
+    def _find(self, key: bytes, now: float) -> _Entry | None:
+        entry = self._by_key.get(key)
+        if entry is None or self._is_over(entry, now):
+            return None
+        return entry
+
     def _is_over(self, entry: _Entry, now: float) -> bool:
         return now - entry.opened_at >= SYN_ACK_LIFETIME_S + self.idle_s
--- a/apricottally/tagged/flows.py
+++ b/apricottally/tagged/flows.py
@@ -41,7 +41,8 @@
     client has completed the handshake, `busy` while a request is in progress.
     `acknowledged` is the client's highest acknowledgement number, `sent_end`
     the sequence number after its last byte, `initial_sequence` that of its
-    SYN, None if the SYN did not pass through this node. `request_packet`
+    SYN, None if the SYN did not pass through this node. `is_resent` is set if
+    the first SYN seen here was a retransmission. `request_packet`
     carried the newest data, which arrived at `request_seen_at`; it is None
     if no request with data is pending.
     """
@@ -57,6 +58,7 @@
     busy: bool = False
     closed: bool = False
     initial_sequence: int | None = None
+    is_resent: bool = False
     acknowledged: int = 0
     sent_end: int = 0
     request_seen_at: float = 0
@@ -69,6 +71,16 @@
         """Whether the SYN was forwarded to another backend, hedges aside."""
         return len(self.tried_tags) > (1 if self.hedge is None else 2)
 
+    @property
+    def may_be_half_open_elsewhere(self) -> bool:
+        """Whether its SYN may have reached other backends than its own.
+
+        Another node has selected the backend for the first SYN if only a
+        retransmission came through here.
+        """
+        tried = self.tried_tags
+        return self.is_resent or len(tried) > 1 or self.tag not in tried
+
 
 @dataclass(slots=True)
 class FlowTable:
--- a/apricottally/tagged/messages.py
+++ b/apricottally/tagged/messages.py
@@ -19,6 +19,7 @@
     LoadNumber,
     Number,
     Port,
+    SequenceNumber,
     Tag,
     Text,
 )
@@ -126,11 +127,13 @@
 class FlowBackend(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """The tag of the backend that serves the flow with a key.
 
-    `age_ms` is the time since the flow was opened.
+    `initial_sequence` is the sequence number of its SYN, `age_ms` the time
+    since it was opened.
     """
 
     key: FlowKey
     tag: Tag
+    initial_sequence: SequenceNumber
     age_ms: AgeMs = 0
 
 
--- a/apricottally/tagged/openings.py
+++ b/apricottally/tagged/openings.py
@@ -27,7 +27,7 @@
     """Forward a SYN to a backend and add its flow to the table.
 
     `waited_s` is how long the SYN has waited for the backend, None if it has
-    not.
+    not. The acknowledgement number of a SYN counts its retransmissions.
     """
     backend = entry.backend
     if backend is None:
@@ -41,6 +41,7 @@
         syn=packet,
         tried_tags=(backend.tag,),
         initial_sequence=packet.sequence,
+        is_resent=packet.acknowledged > 0,
     )
     state.flows.insert(flow)
     hedgedsyns.track_opening(state, flow, backend.service, now)
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -52,9 +52,12 @@
     flow = state.flows.by_key.get(packet.key)
     if flow is not None and flow.initial_sequence == packet.sequence:
         return _handle_retransmitted_syn(state, flow, now)
+    if state.flows.backends.has_opened(packet, now):
+        state.counters.add('dropped', 'opened_elsewhere')
+        return []
+    state.flows.backends.forget(packet.key)
     if state.config.max_wait_s:
         return admission.admit(state, packet, route, now)
-    state.flows.backends.forget(packet.key)
     entry = selection.select_backend(state, route, packet.key, now)
     if entry is None:
         return refusals.refuse_overloaded(state, packet, route, now)
@@ -118,11 +121,8 @@
     """
     if flow is not None and flow.established and not flow.closed:
         return flow.tag
-    if flow is None:
-        announced = state.flows.backends.find_tag(packet.key, now)
-        if announced is not None:
-            return announced
-    return packet.tag
+    announced = state.flows.backends.find_tag(packet, now)
+    return packet.tag if announced is None else announced
 
 
 def _should_reset(
--- a/tests/test_tagged_flowbackends.py
+++ b/tests/test_tagged_flowbackends.py
@@ -43,6 +43,26 @@
     return next(one for one in found if isinstance(one, effects.Forward))
 
 
+@pytest.mark.parametrize('restarted', [False, True])
+def test_other_nodes_know_which_backend_serves(restarted) -> None:
+    """Guards against a reset when a flow moves to another node (review/5).
+
+    The client sends the tag of the backend whose SYN-ACK came last, which is
+    not the one that serves the flow. The node that the flow moves to may have
+    started since it was opened.
+    """
+    fleet = start_fleet(4, 'a')
+    wrong, tag = open_retried(fleet, 'n0')
+    fleet.run(0.1)
+    if restarted:
+        fleet.kill('n1')
+        fleet.run(2)
+        fleet.start('n1')
+        fleet.run(1)
+    sent = send_data(fleet, 'n1', wrong)
+    assert (sent.backend.tag, sent.tag) == (tag, tag)
+
+
 @pytest.mark.parametrize('restarted', ['n0', 'n1'])
 def test_flow_moves_to_another_zone(restarted) -> None:
     """Guards against a reset of a retried flow whose zone has a single node.
@@ -105,3 +125,57 @@
     fleet.run(1)
     sent = send_data(fleet, 'n1', wrong)
     assert (sent.backend.tag, sent.tag) == (tag, tag)
+
+
+def send_syn_copies(fleet: Fleet) -> tuple[int, int]:
+    """Send a SYN to a node and its copy to another one.
+
+    Returns the tags of the backends that they select.
+    """
+    tags = []
+    for copy, name in enumerate(('n0', 'n1')):
+        fleet.forwarded.clear()
+        syn = build_packet(PORT, packets.SYN, acknowledged=copy)
+        fleet._submit(name, events.PacketArrived(fleet.now, syn))
+        tags.append(fleet.forwarded[0][1].tag)
+        fleet.run(0.03)
+    return tags[0], tags[1]
+
+
+@pytest.mark.parametrize('name', ['n0', 'n2'])
+def test_copy_of_a_syn_went_through_another_node(name) -> None:
+    """Guards against a reset of a flow whose SYN moved to another node.
+
+    Each of the two nodes selects a backend and knows of one only. The client
+    opens the flow at one of them and sends the tag of the other.
+    """
+    fleet = start_fleet(3, 'a')
+    tag, wrong = send_syn_copies(fleet)
+    assert tag != wrong
+    send_data(fleet, 'n1', tag)
+    fleet.run(0.1)
+    sent = send_data(fleet, name, wrong)
+    assert (sent.backend.tag, sent.tag) == (tag, tag)
+
+
+def test_late_copy_of_a_syn() -> None:
+    """Guards against one more backend that answers the SYN of an open flow."""
+    fleet = start_fleet(3, 'a')
+    open_retried(fleet, 'n0')
+    fleet.run(0.1)
+    fleet.forwarded.clear()
+    fleet.send_syn('n2', PORT)
+    assert not fleet.forwarded
+
+
+def test_later_flow_with_the_same_ports() -> None:
+    """Guards against a packet that goes where an earlier flow was served."""
+    fleet = start_fleet(3, 'a')
+    other, _ = open_retried(fleet, 'n0')
+    fleet.run(0.1)
+    sent = send_data(fleet, 'n1', other, sequence=1 << 30)
+    assert sent.backend.tag == other
+    syn = build_packet(PORT, packets.SYN, sequence=1 << 30)
+    fleet._submit('n2', events.PacketArrived(fleet.now, syn))
+    sent = send_data(fleet, 'n2', other, sequence=(1 << 30) + 1)
+    assert sent.backend.tag == other
