Correct the backend of a flow that moved before it was announced

A node that takes over an open flow kept the tag of the flow's first packet there. If the announcement of the backend that serves it came later, it was stored and not used, so that the flow's packets went on to the wrong backend.

The announcement now changes the backend of a flow that the node has adopted. test_announcement_after_the_flow_has_moved failed before and passes.

--- a/apricottally/tagged/flowbackends/announcing.py
+++ b/apricottally/tagged/flowbackends/announcing.py
@@ -67,9 +67,19 @@
         flow = state.flows.by_key.get(announced.key)
         if flow is None or not _is_known_better(flow, announced):
             state.flows.backends.record(announced, now)
+            _correct_backend(state, flow, now)
     return []
 
 
+def _correct_backend(state: NodeState, flow: Flow | None, now: float) -> None:
+    """Change the backend of a flow that moved here before it was announced."""
+    if flow is None or flow.closed or not flow.established:
+        return
+    tag = state.flows.backends.find_tag(flow.key, flow.sent_end, now)
+    if tag is not None:
+        state.flows.mark_established(flow, tag)
+
+
 def _is_known_better(flow: Flow, announced: FlowBackend) -> bool:
     """Tell whether this node has seen the flow open, or a later one begin."""
     if flow.initial_sequence is None:
--- a/apricottally/tagged/flowbackends/table.py
+++ b/apricottally/tagged/flowbackends/table.py
@@ -25,9 +25,9 @@
     initial_sequence: int
     opened_at: float
 
-    def includes(self, packet: FlowPacket) -> bool:
-        """Tell whether a packet may belong to the flow, by its sequence."""
-        sent = packet.sequence - self.initial_sequence
+    def includes(self, sequence: int) -> bool:
+        """Tell whether a sequence number may be one of the flow's."""
+        sent = sequence - self.initial_sequence
         return sent % _SEQUENCE_RANGE <= MAX_SENT_BYTES
 
 
@@ -58,13 +58,14 @@
         """Drop a flow, as its client has begun another one."""
         self._by_key.pop(key, None)
 
-    def find_tag(self, packet: FlowPacket, now: float) -> int | None:
-        """Return the tag of the backend that serves a packet's flow.
+    def find_tag(self, key: bytes, sequence: int, now: float) -> int | None:
+        """Return the tag of the backend that serves a flow.
 
-        Returns None if it is not known.
+        `sequence` is the sequence number of one of its packets. Returns None if
+        the flow is not known.
         """
-        entry = self._find(packet.key, now)
-        if entry is None or not entry.includes(packet):
+        entry = self._find(key, now)
+        if entry is None or not entry.includes(sequence):
             return None
         return entry.tag
 
--- a/apricottally/tagged/steering.py
+++ b/apricottally/tagged/steering.py
@@ -121,7 +121,8 @@
     """
     if flow is not None and flow.established and not flow.closed:
         return flow.tag
-    announced = state.flows.backends.find_tag(packet, now)
+    backends = state.flows.backends
+    announced = backends.find_tag(packet.key, packet.sequence, now)
     return packet.tag if announced is None else announced
 
 
--- a/tests/test_tagged_flowbackends.py
+++ b/tests/test_tagged_flowbackends.py
@@ -179,3 +179,17 @@
     fleet._submit('n2', events.PacketArrived(fleet.now, syn))
     sent = send_data(fleet, 'n2', other, sequence=(1 << 30) + 1)
     assert sent.backend.tag == other
+
+
+def test_announcement_after_the_flow_has_moved() -> None:
+    """Guards against a node that keeps the first tag it saw on a flow."""
+    fleet = start_fleet(2, 'a')
+    wrong, tag = open_retried(fleet, 'n0')
+    send_data(fleet, 'n1', wrong)
+    occupancy = fleet.nodes['n1'].occupancy
+    assert occupancy.get_own_count(wrong).open == 1
+    fleet.run(0.1)
+    sent = send_data(fleet, 'n1', wrong)
+    assert (sent.backend.tag, sent.tag) == (tag, tag)
+    assert occupancy.get_own_count(wrong).open == 0
+    assert occupancy.get_own_count(tag).open == 1
