Count suspended time in the daemons' clock

A machine may be suspended for seconds, and asyncio's clock stands still then. A node that wakes took its records for as new as before, an old answer of the store for a new one, and a neighbour that measured its clock after that believed it. A pause was not noticed either.

--- a/apricottally/daemon.py
+++ b/apricottally/daemon.py
@@ -13,7 +13,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
-from apricottally import effects
+from apricottally import effects, eventloop
 from apricottally.controlservice import ControlCallbacks, open_control_service
 from apricottally.errors import ApricottallyError, SettingsError
 from apricottally.loadpoller import LoadPoller
@@ -46,7 +46,7 @@
             print(f'{options.settings}: {error}', file=sys.stderr)
         sys.exit(INVALID_SETTINGS_STATUS)
     start_logging(settings.log.level)
-    sys.exit(asyncio.run(run(settings, options.settings)))
+    sys.exit(eventloop.run(run(settings, options.settings)))
 
 
 async def run(settings: Settings, path: Path) -> int:
