--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -128,9 +128,8 @@
         if self.mode == 'garbage':
             return 200, b'{"at": "x"}'
         parts = urlsplit(target)
-        query = {
-            name: values[0] for name, values in parse_qs(parts.query).items()
-        }
+        found = parse_qs(parts.query, errors='surrogatepass')
+        query = {name: values[0] for name, values in found.items()}
         if parts.path == '/api/kv-range':
             if self.epochs_per_list:
                 self.epoch += self.epochs_per_list
--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -21,7 +21,7 @@
 from apricottally.tagged import messages as taggedmessages
 from apricottally.tagged.records import BackendChange, Rejection
 from tests.asyncruns import run
-from tests.fakestore import open_fake_store
+from tests.fakestore import PAGE_SIZE, open_fake_store
 from tests.taggednode import TaggedNode, build_backend, rev
 from tests.test_fleetnode import SERVER, encode
 from tests.test_tagged_load import build_heartbeat
@@ -166,6 +166,28 @@
     assert len(changes.rejected) == 1
 
 
+@pytest.mark.parametrize(
+    'prefix', ['k' * 1001, 's\ud800'], ids=['long', 'no_character']
+)
+def test_page_that_cannot_be_read(prefix) -> None:
+    """Guards against a list that ends where a page has no readable item.
+
+    No node would follow the store any more, as with review/1.
+    """
+
+    async def scenario() -> None:
+        async with open_fake_store() as fake:
+            for index in range(4 * PAGE_SIZE):
+                fake.put(f'{prefix}{index:02}', b'')
+            for index in range(1, 6):
+                fake.put_server(f'i-{index:08x}')
+            listing = await StoreClient(fake.endpoint).list_records()
+            assert len(listing.changes) == 5
+            assert len(listing.rejected) >= 3 * PAGE_SIZE
+
+    run(scenario())
+
+
 def test_event_that_cannot_be_read() -> None:
     """Guards against a watch that returns at once, again and again.
 
