Let no entry without a start take the tag of a living backend

Packets of open flows went to the address in another writer's entry if its key ends with the digits of a living backend's id: of two entries with one tag, the one that started first has it, and an entry without a start counted as the oldest. With equal starts the entry that a node heard of first had it, so that nodes could differ.

An entry without a start comes last now, and names decide between equals. test_entry_with_the_number_of_a_living_backend: of four cases failed before those without a start and the one with equal starts whose entry came first; all pass.

--- a/apricottally/tagged/tagtable.py
+++ b/apricottally/tagged/tagtable.py
@@ -99,8 +99,13 @@
     return _get_age_key(entry.backend) < _get_age_key(holder.backend)
 
 
-def _get_age_key(backend: Backend) -> tuple[int, int]:
-    return backend.born_ms, backend.number
+def _get_age_key(backend: Backend) -> tuple[bool, int, int, str]:
+    """Return the key by which backends are ordered by their start.
+
+    One that does not state its start comes last.
+    """
+    is_unknown = not backend.born_ms
+    return is_unknown, backend.born_ms, backend.number, backend.name
 
 
 def _index_other_tags(entries: Iterable[Entry]) -> dict[int, Entry]:
--- a/tests/test_tagged_tags.py
+++ b/tests/test_tagged_tags.py
@@ -112,3 +112,22 @@
     found = node.select_effects(effects.WriteLog)
     assert 'backend_changed' not in {line.event for line in found}
     node.submit(events.Ticked(node.now))
+
+
+@pytest.mark.parametrize('born_ms', [0, 1])
+@pytest.mark.parametrize('is_first', [False, True])
+def test_entry_with_the_number_of_a_living_backend(born_ms, is_first) -> None:
+    """Guards against flows that go to what another writer has named.
+
+    A key with another prefix may end with the digits of a living backend's id,
+    and its entry may not state a start.
+    """
+    node = TaggedNode(0)
+    living = build_backend(1, name='i-00000001', slots=4)
+    other = build_backend(1, name='x-00000001', ip='10.2.0.9', born_ms=born_ms)
+    backends = [other, living] if is_first else [living, other]
+    node.load_records(10, [])
+    for at, backend in enumerate(backends, start=11):
+        node.apply_changes(at, BackendChange(backend.name, rev(at), backend))
+    node.send_request(1, 1)
+    assert node.list_forwarded()[0].backend.ip == living.ip
