Reproduce the users' DRAIN record with real processes in the suite

The soak judges DRAIN, CONFIG and ROUTE by what its clients and backends see.

So the regression test for the cause that mended now has real processes; that the users saw this cause stays unproved, as their record has no replay.

--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -32,6 +32,7 @@
     parser.add_argument('--runs', type=parse_count, default=1)
     parser.add_argument('--seconds', type=parse_count, default=20)
     parser.add_argument('--nodes', type=parse_count, default=4)
+    parser.add_argument('--zones', default='ab')
     parser.add_argument(
         '--fault',
         action='append',
@@ -42,7 +43,13 @@
     failed = []
     for seed in range(options.seed, options.seed + options.runs):
         results, fault_names = asyncio.run(
-            run_seed(seed, options.seconds, options.nodes, options.fault)
+            run_seed(
+                seed,
+                options.seconds,
+                options.nodes,
+                options.fault,
+                options.zones,
+            )
         )
         print(
             f'seed {seed}: {dict(results.outcomes)}; {", ".join(fault_names)}'
@@ -55,18 +62,23 @@
 
 
 async def run_seed(
-    seed: int, seconds: int, nodes: int, names: list[str] | None = None
+    seed: int,
+    seconds: int,
+    nodes: int,
+    names: list[str] | None = None,
+    zones: str = 'ab',
 ) -> tuple[RunResults, list[str]]:
     """Run one seed; return the results and the names of the faults.
 
-    `names` are the faults to choose from, None for those of the seed.
+    `names` are the faults to choose from, None for those of the seed; `zones`
+    are those of the nodes.
     """
     faults = list(MIXES[seed % len(MIXES)])
     if names is not None:
         faults = [fault for fault in FAULTS if fault.__name__ in names]
     async with open_fake_store() as store:
         with tempfile.TemporaryDirectory() as folder:
-            deployment = Deployment(seed, nodes, Path(folder), store)
+            deployment = Deployment(seed, nodes, Path(folder), store, zones)
             task = asyncio.current_task()
             asyncio.get_running_loop().add_signal_handler(
                 signal.SIGTERM, task.cancel
--- a/tests/faults/deployment.py
+++ b/tests/faults/deployment.py
@@ -31,7 +31,7 @@
     def __init__(self, index: int, deployment: 'Deployment') -> None:
         self.ip = f'127.{deployment.subnet}.0.{index + 1}'
         self.name = f'node-{index}'
-        self.zone = 'ab'[index % 2]
+        self.zone = deployment.zones[index % len(deployment.zones)]
         self.deployment = deployment
         self.process: asyncio.subprocess.Process | None = None
         self.ready = False
@@ -152,13 +152,20 @@
     `subnet` is the second octet of all addresses, which are in 127.0.0.0/8.
     Nodes, backends and clients receive packets on `base_port`. On the next four
     ports, nodes serve readiness checks, other nodes and metrics, and the proxy
-    between a node and the store accepts connections.
+    between a node and the store accepts connections. `zones` has a letter for
+    the zone of each node; they are repeated for further nodes.
     """
 
     def __init__(
-        self, seed: int, nodes: int, folder: Path, store: FakeStore
+        self,
+        seed: int,
+        nodes: int,
+        folder: Path,
+        store: FakeStore,
+        zones: str = 'ab',
     ) -> None:
         self.rng = Random(seed)
+        self.zones = zones
         self.subnet = 10 + seed % 200
         self._reserved = reserve_ports(self.subnet, 20_000 + seed * 10 % 10_000)
         self.base_port = self._reserved.getsockname()[1]
@@ -251,7 +258,7 @@
         backend = Backend(number or index, service, self.results, self.checks)
         backend.client_port = self.base_port
         backend.ip = f'127.{self.subnet}.2.{index % 250 + 1}'
-        backend.zone = 'ab'[index % 2]
+        backend.zone = self.zones[index % len(self.zones)]
         transport, _ = await self.loop.create_datagram_endpoint(
             lambda: backend, local_addr=(backend.ip, self.base_port)
         )
--- a/tests/faults/mixes.py
+++ b/tests/faults/mixes.py
@@ -32,6 +32,7 @@
     scenarios.restore_without_zone,
     scenarios.lose_answers_before_stops,
     scenarios.start_twins,
+    scenarios.release_while_reader_is_cut,
 )
 # Faults that are injected together, so that machines stay in touch often enough
 # for the rules to be judged. The seed selects one.
--- a/tests/faults/scenarios.py
+++ b/tests/faults/scenarios.py
@@ -4,6 +4,7 @@
 
 from tests.faults.deployment import SERVICES, Deployment, Node
 from tests.faults.faults import (
+    configure,
     disturb_all,
     freeze_node,
     kill_all,
@@ -14,6 +15,8 @@
 )
 from tests.faults.touch import CONTACT_S
 
+# How long the reader of the store is cut off.
+CUT_S = 5.5
 LONG_FLOWS = 60
 LONG_FLOW_S = 22
 # Ids that no backend has, and a key that is no id.
@@ -65,14 +68,55 @@
             asyncio.create_task(replace_backend(deployment)),
             asyncio.create_task(move_route(deployment)),
         ]
-        ends_at = deployment.loop.time() + 5.5
-        while deployment.loop.time() < ends_at:
-            for node in stopping:
-                await freeze_node(node, 0.6)
+        await _freeze_by_turns(deployment, stopping)
         reader.store_proxy.restore()
     await asyncio.gather(*changes)
 
 
+async def _freeze_by_turns(deployment: Deployment, nodes: list[Node]) -> None:
+    """Freeze nodes one after the other for `CUT_S`."""
+    ends_at = deployment.loop.time() + CUT_S
+    while deployment.loop.time() < ends_at:
+        for node in nodes:
+            await freeze_node(node, 0.6)
+
+
+async def release_while_reader_is_cut(deployment: Deployment) -> None:
+    """Replace three backends while the reader of the store is cut off.
+
+    Two other nodes stand still by turns, a route moves, and configurations come
+    in quick succession. This follows the users' record of DRAIN.
+    """
+    if deployment.busy_with_one:
+        return
+    deployment.busy_with_one = True
+    # What disturbed the start is over when machines are in touch.
+    await asyncio.sleep(CONTACT_S)
+    reader = await find_reader(deployment)
+    others = [node for node in deployment.nodes if node is not reader]
+    stopping = deployment.rng.sample(others, 2)
+    with reader.disturbances.last():
+        reader.store_proxy.pause('answers')
+        changes = asyncio.create_task(_release(deployment))
+        await _freeze_by_turns(deployment, stopping)
+        reader.store_proxy.restore()
+    await changes
+    deployment.busy_with_one = False
+
+
+async def _release(deployment: Deployment) -> None:
+    """Replace three backends and change the configuration meanwhile."""
+    changes = []
+    for _ in range(3):
+        changes += [
+            asyncio.create_task(replace_backend(deployment)),
+            asyncio.create_task(configure(deployment)),
+        ]
+        await asyncio.sleep(0.3)
+    changes.append(asyncio.create_task(move_route(deployment)))
+    await asyncio.gather(*changes)
+
+
 async def find_reader(deployment: Deployment) -> Node:
     """Return the node that has sent the store most requests lately."""
     before = [node.store_proxy.requests for node in deployment.nodes]
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -38,6 +38,18 @@
     assert results.outcomes['ok'] > 100
 
 
+@pytest.mark.parametrize('seed', [91, 92])
+def test_release_while_reader_is_cut_off(seed) -> None:
+    """Guards against new flows to backends that drain (users' DRAIN record).
+
+    The zones are those of the deployment in the record, lianfeng-desk.
+    """
+    names = ['release_while_reader_is_cut']
+    results, _ = run(run_seed(seed, 1, 6, names, 'aabbcd'), SOAK_TIMEOUT_S)
+    assert not results.violations
+    assert results.outcomes['ok'] > 100
+
+
 class Service(NamedTuple):
     """What the checks read of a backend."""
 
