--- a/tests/faults/scenarios.py
+++ b/tests/faults/scenarios.py
@@ -19,6 +19,7 @@
 CUT_S = 5.5
 LONG_FLOWS = 60
 LONG_FLOW_S = 22
+LONG_PAUSES_S = (1, 5)
 # Ids that no backend has, and a key that is no id.
 STRANGE_NAMES = ('i-00000001', 'i-0000000f', 'nobody')
 # Two ids that hash to the same 32 bits.
@@ -33,7 +34,9 @@
     if deployment.busy_with_one:
         return
     deployment.busy_with_one = True
-    flows = asyncio.create_task(_open_long_flows(deployment, 1))
+    # A client that pauses for longer sends a wrong echo for longer.
+    pause_s = deployment.rng.choice(LONG_PAUSES_S)
+    flows = asyncio.create_task(_open_long_flows(deployment, pause_s))
     await lose_answers(deployment)
     await asyncio.sleep(CONTACT_S)
     await stop_in_turn(deployment)
