Send the tag of the serving backend to those that lost the flow

Open flows were reset after all nodes had been killed and started: the client sent the tag that came with the last SYN-ACK of a backend that had lost the flow, and no node knew better any more.

A backend that waits for the end of a handshake repeats its SYN-ACK with the last tag that it was sent. 0.1 and 0.5 s after a flow has opened, the node sends the backends that lost it one more copy of the SYN, with the tag of the one that serves it, so that the losing backend, the serving one and the client agree and the tag alone is right. The node that selected the losing backend does that if only a copy of the SYN came through the opening node. No copy goes to a backend that drains or may get no new flow, or for a flow that is closed by then.

--- a/apricottally/tagged/flowbackends/announcing.py
+++ b/apricottally/tagged/flowbackends/announcing.py
@@ -7,9 +7,11 @@
 from apricottally.addresses import Endpoint
 from apricottally.tagged import messages
 from apricottally.tagged.effects import Effect, SendPeer
+from apricottally.tagged.flowbackends import corrections
 from apricottally.tagged.flows import Flow
 from apricottally.tagged.messages import FlowAnnouncement, FlowBackend
 from apricottally.tagged.neighbours import Neighbour
+from apricottally.tagged.packets import FlowPacket
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -20,14 +22,18 @@
 REPETITION_DELAYS_S = (0, 0.2, 1)
 
 
-def record_opened(state: NodeState, flow: Flow, now: float) -> None:
+def record_opened(
+    state: NodeState, flow: Flow, syn: FlowPacket | None, now: float
+) -> None:
     """Record an opened flow if its SYN may have gone to several backends."""
     if flow.initial_sequence is None or not flow.may_be_half_open_elsewhere:
         return
+    if syn is not None:
+        corrections.schedule(state, flow, syn, flow.tag, now)
     opened = FlowBackend(flow.key, flow.tag, flow.initial_sequence)
     state.flows.backends.record(opened, now)
     for delay_s in REPETITION_DELAYS_S:
-        state.flows.announcements.add_flow(flow.key, now + delay_s)
+        state.flows.due_announcements.add(flow.key, now + delay_s)
 
 
 def tick(state: NodeState, now: float) -> list[Effect]:
@@ -37,13 +43,13 @@
     of other zones while none of it is ready. In a large fleet only nodes of
     the same zone are told: a whole zone of it is hardly ever away.
     """
-    due = state.flows.announcements.take_due(now)
     effects: list[Effect] = []
-    if due.keys:
+    keys = state.flows.due_announcements.take_due(now)
+    if keys:
         near = state.gossip_targets.list_near(now)
         receivers = tuple(neighbour.endpoint for neighbour in near)
-        effects += _build(_describe(state, due.keys, now), receivers)
-    for endpoint in due.newcomers:
+        effects += _build(_describe(state, keys, now), receivers)
+    for endpoint in state.flows.due_newcomers.take_due(now):
         flows = state.flows.backends.describe_all(now)
         effects += _build(flows, (endpoint,))
     return effects
@@ -54,9 +60,7 @@
     is_same_zone = neighbour.peer.zone == state.config.zone
     if is_same_zone or state.neighbours.is_small(now):
         for delay_s in REPETITION_DELAYS_S:
-            state.flows.announcements.add_newcomer(
-                neighbour.endpoint, now + delay_s
-            )
+            state.flows.due_newcomers.add(neighbour.endpoint, now + delay_s)
 
 
 def receive(
@@ -67,13 +71,22 @@
         flow = state.flows.by_key.get(announced.key)
         if flow is None or not _is_known_better(flow, announced):
             state.flows.backends.record(announced, now)
-            _correct_backend(state, flow, now)
+            _correct_flow(state, flow, announced, now)
     return []
 
 
-def _correct_backend(state: NodeState, flow: Flow | None, now: float) -> None:
-    """Change the backend of a flow that moved here before it was announced."""
-    if flow is None or flow.closed or not flow.established:
+def _correct_flow(
+    state: NodeState, flow: Flow | None, announced: FlowBackend, now: float
+) -> None:
+    """Correct the backend of a flow that moved here before it was announced.
+
+    Backends that this node has sent the flow's SYN to are told as well.
+    """
+    if flow is None or flow.closed:
+        return
+    if not flow.established:
+        if flow.syn is not None:
+            corrections.schedule(state, flow, flow.syn, announced.tag, now)
         return
     tag = state.flows.backends.find_tag(flow.key, flow.sent_end, now)
     if tag is not None:
@@ -89,7 +102,7 @@
 
 
 def _describe(
-    state: NodeState, keys: tuple[bytes, ...], now: float
+    state: NodeState, keys: list[bytes], now: float
 ) -> list[FlowBackend]:
     found = [state.flows.backends.describe(key, now) for key in keys]
     return [flow for flow in found if flow is not None]
--- a/apricottally/tagged/flowbackends/schedule.py
+++ b/apricottally/tagged/flowbackends/schedule.py
@@ -1,44 +1,31 @@
-"""When which announcements are sent."""
+"""Items that are due at a time."""
 
 from __future__ import annotations
 
 import heapq
-from dataclasses import dataclass
+import itertools
+from typing import Generic, TypeVar
 
-from apricottally.addresses import Endpoint
+_Item = TypeVar('_Item')
 
 
-@dataclass(frozen=True, slots=True)
-class DueAnnouncements:
-    """The keys of flows to announce, and nodes to be told of all flows."""
+class Schedule(Generic[_Item]):
+    """Items by the time at which they are due."""
 
-    keys: tuple[bytes, ...]
-    newcomers: tuple[Endpoint, ...]
-
-
-class AnnouncementSchedule:
-    """Announcements of single flows, and of all flows to single nodes."""
-
-    __slots__ = ('_flows', '_newcomers')
+    __slots__ = ('_counter', '_heap')
 
     def __init__(self) -> None:
-        self._flows: list[tuple[float, bytes]] = []
-        self._newcomers: list[tuple[float, Endpoint]] = []
-
-    def add_flow(self, key: bytes, due_at: float) -> None:
-        """Announce a flow at a time."""
-        heapq.heappush(self._flows, (due_at, key))
-
-    def add_newcomer(self, endpoint: Endpoint, due_at: float) -> None:
-        """Tell a node of all flows at a time."""
-        heapq.heappush(self._newcomers, (due_at, endpoint))
-
-    def take_due(self, now: float) -> DueAnnouncements:
-        """Remove and return what is due."""
-        keys: list[bytes] = []
-        while self._flows and self._flows[0][0] <= now:
-            keys.append(heapq.heappop(self._flows)[1])
-        newcomers: list[Endpoint] = []
-        while self._newcomers and self._newcomers[0][0] <= now:
-            newcomers.append(heapq.heappop(self._newcomers)[1])
-        return DueAnnouncements(tuple(keys), tuple(newcomers))
+        self._heap: list[tuple[float, int, _Item]] = []
+        # Keeps the order of items that are due at the same time.
+        self._counter = itertools.count()
+
+    def add(self, item: _Item, due_at: float) -> None:
+        """Add an item that is due at a time."""
+        heapq.heappush(self._heap, (due_at, next(self._counter), item))
+
+    def take_due(self, now: float) -> list[_Item]:
+        """Remove and return the items that are due."""
+        found: list[_Item] = []
+        while self._heap and self._heap[0][0] <= now:
+            found.append(heapq.heappop(self._heap)[-1])
+        return found
--- a/apricottally/tagged/flows.py
+++ b/apricottally/tagged/flows.py
@@ -9,15 +9,20 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
+from apricottally.addresses import Endpoint
 from apricottally.tagged.catalogentry import Entry
-from apricottally.tagged.flowbackends.schedule import AnnouncementSchedule
+from apricottally.tagged.flowbackends.schedule import Schedule
 from apricottally.tagged.flowbackends.table import FlowBackends
 from apricottally.tagged.hedging.hedges import Hedge
 from apricottally.tagged.occupancy import Occupancy
 from apricottally.tagged.packets import FlowPacket
 from apricottally.tagged.records import Repetition, Route
 
+if TYPE_CHECKING:
+    from apricottally.tagged.flowbackends.corrections import Correction
+
 MAX_FLOWS = 100_000
 # A request is no longer counted if its flow has been silent for this long: the
 # client has given up, or the backend keeps the request longer than any queue.
@@ -101,9 +106,11 @@
     pending_requests: deque[tuple[float, Flow]] = field(default_factory=deque)
     # Which backends serve the flows whose SYN went to several.
     backends: FlowBackends = field(default_factory=FlowBackends)
-    announcements: AnnouncementSchedule = field(
-        default_factory=AnnouncementSchedule
-    )
+    # Keys of flows to announce, nodes to be told of all flows, and copies of
+    # SYNs for backends that lost a flow.
+    due_announcements: Schedule[bytes] = field(default_factory=Schedule)
+    due_newcomers: Schedule[Endpoint] = field(default_factory=Schedule)
+    corrections: Schedule[Correction] = field(default_factory=Schedule)
 
     def insert(self, flow: Flow) -> None:
         """Add a new flow with a forwarded SYN, unless the table is full."""
--- a/apricottally/tagged/flowtracking.py
+++ b/apricottally/tagged/flowtracking.py
@@ -72,8 +72,9 @@
         state.answer_time.add(now - flow.syn_sent_at)
         state.durations.answer.add(now - flow.syn_sent_at)
     hedgedsyns.track_answer(state, flow, tag, now)
+    syn = flow.syn
     state.flows.mark_established(flow, tag)
-    announcing.record_opened(state, flow, now)
+    announcing.record_opened(state, flow, syn, now)
     state.suspicion.record_response(tag, now)
     flow.acknowledged = packet.acknowledged
     flow.sent_end = packet.sequence
--- a/apricottally/tagged/reducer.py
+++ b/apricottally/tagged/reducer.py
@@ -32,7 +32,7 @@
     SnapshotPulled,
     Ticked,
 )
-from apricottally.tagged.flowbackends import announcing
+from apricottally.tagged.flowbackends import announcing, corrections
 from apricottally.tagged.hedging import hedgedsyns
 from apricottally.tagged.places import transitions
 from apricottally.tagged.queueing import admission
@@ -74,6 +74,7 @@
         fields = state.freshness.describe(now)
         effects.append(WriteLog('records_stale', fields))
     effects += announcing.tick(state, now)
+    effects += corrections.tick(state, now)
     effects += heartbeats.tick(state, now)
     return effects + shutdown.tick(state, now)
 
--- a/apricottally/tagged/retrying.py
+++ b/apricottally/tagged/retrying.py
@@ -5,9 +5,11 @@
 from typing import TYPE_CHECKING
 
 from apricottally.tagged import coldstart, probing, refusals, selection
+from apricottally.tagged.catalogentry import Entry
 from apricottally.tagged.effects import Effect, Forward
 from apricottally.tagged.flows import Flow
 from apricottally.tagged.places import eligibility
+from apricottally.tagged.records import Route
 
 if TYPE_CHECKING:
     from apricottally.tagged.state import NodeState
@@ -70,15 +72,21 @@
     entry = state.catalog.find_by_tag(flow.tag)
     if entry is None or entry.backend is None or flow.syn is None:
         return []
-    if not (
-        eligibility.is_eligible(state, flow.route, entry, now)
-        and coldstart.take_permit(state, entry, now)
-    ):
+    if not may_get_copy(state, flow.route, entry, now):
         state.counters.add('retry_skipped', 'client_copy')
         return []
     return [Forward(entry.backend, flow.syn.raw, flow.tag)]
 
 
+def may_get_copy(
+    state: NodeState, route: Route, entry: Entry, now: float
+) -> bool:
+    """Tell whether a copy of a SYN may go to a backend that was sent it."""
+    if not eligibility.is_eligible(state, route, entry, now):
+        return False
+    return coldstart.take_permit(state, entry, now)
+
+
 def forward_to_another(
     state: NodeState,
     flow: Flow,
--- a/tests/test_tagged_flowbackends.py
+++ b/tests/test_tagged_flowbackends.py
@@ -5,7 +5,7 @@
 from apricottally.tagged import effects, events, packets
 from apricottally.tagged.reducer import reduce
 from tests.taggedfleet import Fleet
-from tests.taggednode import build_packet
+from tests.taggednode import TICK_S, build_packet
 
 PORT = 1
 KEY = build_packet(PORT, packets.SYN).key
@@ -193,3 +193,60 @@
     assert (sent.backend.tag, sent.tag) == (tag, tag)
     assert occupancy.get_own_count(wrong).open == 0
     assert occupancy.get_own_count(tag).open == 1
+
+
+def list_corrected(fleet: Fleet, name: str, seconds: float):
+    """Return the backend and tag of each SYN that a node sends on meanwhile."""
+    found = []
+    for _ in range(round(seconds / TICK_S)):
+        fleet.now += TICK_S
+        event = events.Ticked(fleet.now)
+        found += reduce(fleet.nodes[name], event)
+    return [
+        (one.backend.tag, one.tag)
+        for one in found
+        if isinstance(one, effects.Forward)
+    ]
+
+
+@pytest.mark.parametrize('is_draining', [False, True])
+def test_losing_backend_is_sent_the_tag(is_draining) -> None:
+    """Guards against resets after all nodes that knew a flow were killed.
+
+    The client sends the tag that came with the last SYN-ACK of the backend that
+    lost the flow. A backend that drains gets no SYN any more.
+    """
+    fleet = start_fleet(2, 'a')
+    losing, tag = open_retried(fleet, 'n0')
+    flows = fleet.nodes['n0'].flows
+    tried = set(flows.by_key[KEY].tried_tags)
+    if is_draining:
+        fleet.platform.put_backend(losing, present=True, draining=True)
+        fleet.run(0.05)
+        tried.discard(losing)
+    expected = sorted((other, tag) for other in tried - {tag})
+    assert sorted(list_corrected(fleet, 'n0', 1)) == sorted(expected * 2)
+
+
+def test_flow_that_is_closed_is_not_corrected() -> None:
+    """Guards against SYNs for flows of one request, which are over by then."""
+    fleet = start_fleet(2, 'a')
+    _, tag = open_retried(fleet, 'n0')
+    fin = build_packet(PORT, packets.FIN | packets.ACK, tag=tag, sequence=10)
+    fleet._submit('n0', events.PacketArrived(fleet.now, fin))
+    assert not list_corrected(fleet, 'n0', 1)
+
+
+@pytest.mark.parametrize(('served', 'teller'), [(0, 'n1'), (1, 'n0')])
+def test_backend_of_a_copied_syn_is_corrected(served, teller) -> None:
+    """Guards against a losing backend that the opening node did not select.
+
+    The node that selected it hears that another node has seen the flow open.
+    """
+    fleet = start_fleet(2, 'a')
+    tags = send_syn_copies(fleet)
+    send_data(fleet, 'n1', tags[served])
+    fleet.forwarded.clear()
+    fleet.run(0.2)
+    sent = [(name, backend.tag) for name, backend in fleet.forwarded]
+    assert (teller, tags[1 - served]) in sent
