Let the soak answer misdirected packets and judge where packets go

The soak passed on code that resets open flows of retried SYNs. Its backends kept a half-open flow for ever and so never answered a packet of a flow that they had lost, and nothing judged part (b) of FLOW: packets that reach other backends for 2 s and none its own.

A backend gives a flow up after its last SYN-ACK now, as the users' page says, and the soak judges both parts.

--- a/tests/faults/checks.py
+++ b/tests/faults/checks.py
@@ -11,6 +11,8 @@
 
 DRAIN_S = 3.0
 CONFIG_APPLY_S = 3.0
+FLOW_REORDER_S = 2.0
+MIN_MISDIRECTED = 3
 # The port of a route that moves from one service to another.
 MOVED_PORT = 500
 
@@ -97,16 +99,43 @@
         `node` is the IP of the node that has sent it, or that has sent the
         flow's last packet on if another backend has sent the reset.
         """
-        if not backend.alive or not backend.disturbances.is_calm():
-            return
-        if self._was_dropped(*opened):
-            return
-        if node is not None and self.is_calm(node):
+        if self._is_flow_judged(backend, node, opened):
             self.violations.append(
                 f'FLOW: {name}: open flow at {backend.name} reset, '
                 f'by way of {node}'
             )
 
+    def check_direction(
+        self,
+        backend,
+        node: str | None,
+        opened: tuple[int, float],
+        name: str,
+        misdirected: list[float],
+    ) -> None:
+        """Check when a flow's packets reached other backends than its own.
+
+        The rule is broken if that lasts for `FLOW_REORDER_S`.
+        """
+        if len(misdirected) < MIN_MISDIRECTED:
+            return
+        if misdirected[-1] - misdirected[0] < FLOW_REORDER_S:
+            return
+        if self._is_flow_judged(backend, node, opened):
+            self.violations.append(
+                f'FLOW: {name}: {len(misdirected)} packets of an open flow at '
+                f'{backend.name} reached other backends, by way of {node}'
+            )
+
+    def _is_flow_judged(
+        self, backend, node: str | None, opened: tuple[int, float]
+    ) -> bool:
+        if not backend.alive or not backend.disturbances.is_calm():
+            return False
+        if self._was_dropped(*opened):
+            return False
+        return node is not None and self.is_calm(node)
+
     def _was_dropped(self, port: int, since: float) -> bool:
         """Tell whether a configuration has dropped a route since a time.
 
--- a/tests/faults/hosts.py
+++ b/tests/faults/hosts.py
@@ -79,6 +79,8 @@
         if packet.flags & wire.SYN:
             self._accept_syn(key, packet, addr[0])
             return
+        if key in self.results.flows:
+            self.results.flows[key].record_arrival(self.ip)
         flow = self.flows.get(key)
         if flow is None:
             reset = packet.build_reply(wire.RST, sequence=packet.acknowledged)
@@ -136,7 +138,10 @@
     def _repeat_answer(self, key, flow: dict, delays: list[float]) -> None:
         """Send the SYN+ACK again until the flow is open or given up."""
         is_over = flow['open'] or self.flows.get(key) is not flow
-        if not (delays and self.alive) or is_over:
+        if is_over or not self.alive:
+            return
+        if not delays:
+            self.flows.pop(key)
             return
         if 'packet' in flow:
             self._answer_syn(flow, flow['packet'])
@@ -218,6 +223,8 @@
             if outcome != 'ok':
                 return outcome
             outcome = await flow.request(f'{request_id}.{step}')
+            if outcome == 'expired':
+                flow.check_direction(request_id)
             await asyncio.sleep(pause_s)
         if outcome == 'ok':
             flow.send(wire.FIN | wire.ACK)
@@ -242,6 +249,8 @@
         self.backend = ''
         self.node: str | None = None
         self.syn_times: list[float] = []
+        # When packets reached other backends, since one reached its own.
+        self.misdirected: list[float] = []
         self.received: asyncio.Queue[tuple[Packet, str]] = asyncio.Queue()
 
     def receive(self, packet: Packet, sender: str) -> None:
@@ -250,6 +259,13 @@
             self.echo = packet.echo
         self.received.put_nowait((packet, sender))
 
+    def record_arrival(self, backend_ip: str) -> None:
+        """Record a packet that a backend has received."""
+        if backend_ip == self.backend:
+            self.misdirected.clear()
+        elif self.backend:
+            self.misdirected.append(asyncio.get_running_loop().time())
+
     def send(self, flags: int, data: bytes = b'') -> None:
         packet = Packet(
             flags,
@@ -315,6 +331,14 @@
         except TimeoutError:
             return None, ''
 
+    def check_direction(self, request_id: str) -> None:
+        """Check that packets without an answer reached the flow's backend."""
+        backend = self.client.backends[self.backend]
+        opened = (self.dest_port, self.syn_times[0])
+        self.client.checks.check_direction(
+            backend, self.node, opened, request_id, self.misdirected
+        )
+
     def _handle_reset(self, sender: str, request_id: str) -> str:
         backend = self.client.backends[self.backend]
         if sender != self.backend:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -119,6 +119,25 @@
     assert len(run(check())) == found
 
 
+@pytest.mark.parametrize(
+    ('spans', 'found'),
+    [((0, 0.2, 0.6), 0), ((0, 2.1), 0), ((0, 0.2, 2.1), 1)],
+)
+def test_checks_of_directions(spans, found) -> None:
+    """Guards against packets that go to wrong backends and meet no reset."""
+
+    async def check() -> list[str]:
+        checks = Checks([])
+        checks.services[443] = [(0, 'core')]
+        checks.nodes['n'] = Disturbances()
+        checks.check_direction(
+            Service('core'), 'n', (443, 1), 'request', list(spans)
+        )
+        return checks.violations
+
+    assert len(run(check())) == found
+
+
 @pytest.mark.parametrize('seed', [731, 732])
 def test_short_soak_of_restored_store(seed) -> None:
     """Processes must keep up with a store that comes back from a copy."""
