Use one hash of backends' numbers, and shorten two functions

The adapter and the table of tags had the same hash twice; without an attempt they give the same tag. treat_unknown has one condition in place of two branches that drop, and receiving announcements returns nothing, as it had no effects. No behaviour changes.

--- a/apricottally/tagged/flowbackends/announcing.py
+++ b/apricottally/tagged/flowbackends/announcing.py
@@ -65,13 +65,12 @@
 
 def receive(
     state: NodeState, announcement: FlowAnnouncement, now: float
-) -> list[Effect]:
+) -> None:
     """Record announced flows, except those that this node knows better."""
     for announced in announcement.flows:
         flow = state.flows.by_key.get(announced.key)
         if flow is None or not _is_known_better(flow, announced):
             _record_announced(state, flow, announced, now)
-    return []
 
 
 def _record_announced(
--- a/apricottally/tagged/heartbeats.py
+++ b/apricottally/tagged/heartbeats.py
@@ -61,8 +61,9 @@
     if isinstance(message, ClockRequest):
         return exchange.answer(state, message, event.source, event.now)
     if isinstance(message, FlowAnnouncement):
-        return announcing.receive(state, message, event.now)
-    exchange.receive_reply(state, message, event.now)
+        announcing.receive(state, message, event.now)
+    else:
+        exchange.receive_reply(state, message, event.now)
     return []
 
 
--- a/apricottally/tagged/removedbackends.py
+++ b/apricottally/tagged/removedbackends.py
@@ -59,12 +59,12 @@
     platform was restored, and its registration may be missing since.
     """
     is_new = now - state.started_at < FLOW_LIFETIME_S
+    may_be_missing = is_new or state.catalog.was_restored
     is_settled = now - state.freshness.current_since >= CONFIRMATION_S
-    if is_new or state.catalog.was_restored or not is_settled:
-        return Treatment.drop
-    if not state.freshness.is_current(now):
-        return Treatment.drop
-    return Treatment.reset
+    is_current = state.freshness.is_current(now) and is_settled
+    return (
+        Treatment.reset if is_current and not may_be_missing else Treatment.drop
+    )
 
 
 def needs_probe(state: NodeState, entry: Entry, now: float) -> bool:
--- a/apricottally/tagged/tagtable.py
+++ b/apricottally/tagged/tagtable.py
@@ -82,10 +82,16 @@
 
 def compute_tag(record: Backend, attempt: int) -> int:
     """Return the tag in a backend's record, or one of its further hashes."""
-    if not attempt:
-        return record.tag
+    return hash_number(record.number, attempt) if attempt else record.tag
+
+
+def hash_number(number: int, attempt: int = 0) -> int:
+    """Return a 32-bit hash of a backend's number for an attempt.
+
+    A tag of 0 would mean no backend, so it is replaced by 1.
+    """
     digest = hashlib.blake2b(
-        record.number.to_bytes(8, 'big'),
+        number.to_bytes(8, 'big'),
         digest_size=_TAG_BYTES,
         salt=attempt.to_bytes(_TAG_BYTES, 'big'),
     )
