--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -9,6 +9,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from apricottally.tagged.revisions import Revision
+from tests.asyncruns import iterate_sequentially
 
 PAGE_SIZE = 3
 
@@ -49,13 +50,16 @@
     invalid body. `no_such_history`: status 410 to watches. `history` contains
     all changes, `requested_targets` the targets of all requests answered.
     `epoch` is 1 more than the number of restorations; `epochs_per_list` are
-    added to it at each page of a list.
+    added to it at each page of a list. The bodies of responses are sent in
+    `parts`, with a pause of `pause_s` after each.
     """
 
     items: dict[str, Item] = field(default_factory=dict)
     history: list[Item] = field(default_factory=list)
     epoch: int | str = 1
     epochs_per_list: int = 0
+    parts: int = 1
+    pause_s: float = 0
     revision: int = 5
     mode: str = 'good'
     requested_targets: list[str] = field(default_factory=list)
@@ -165,6 +169,13 @@
         body = {'events': events, 'at': self.revision}
         return 200, json.dumps(body).encode()
 
+    async def _send(self, writer, body: bytes) -> None:
+        size = -(-len(body) // self.parts)
+        async for start in iterate_sequentially(range(0, len(body), size)):
+            writer.write(body[start : start + size])
+            await writer.drain()
+            await asyncio.sleep(self.pause_s)
+
     async def serve(self, reader, writer) -> None:
         try:
             while True:
@@ -177,10 +188,10 @@
                 status, body = await self.answer(target)
                 writer.write(
                     b'HTTP/1.1 %d X\r\nContent-Type: application/json\r\n'
-                    b'Store-Era: %s\r\nContent-Length: %d\r\n\r\n%s'
-                    % (status, str(self.epoch).encode(), len(body), body)
+                    b'Store-Era: %s\r\nContent-Length: %d\r\n\r\n'
+                    % (status, str(self.epoch).encode(), len(body))
                 )
-                await writer.drain()
+                await self._send(writer, body)
         except (OSError, EOFError, asyncio.CancelledError):
             return
         finally:
