--- a/apricottally/tagged/flowbackends/announcing.py
+++ b/apricottally/tagged/flowbackends/announcing.py
@@ -48,7 +48,7 @@
     if keys:
         near = state.gossip_targets.list_near(now)
         receivers = tuple(neighbour.endpoint for neighbour in near)
-        effects += _build(_describe(state, keys, now), receivers)
+        effects += _build(state.flows.backends.describe(keys, now), receivers)
     for endpoint in state.flows.due_newcomers.take_due(now):
         flows = state.flows.backends.describe_all(now)
         effects += _build(flows, (endpoint,))
@@ -111,13 +111,6 @@
     return is_other or flow.established
 
 
-def _describe(
-    state: NodeState, keys: list[bytes], now: float
-) -> list[FlowBackend]:
-    found = [state.flows.backends.describe(key, now) for key in keys]
-    return [flow for flow in found if flow is not None]
-
-
 def _build(
     flows: list[FlowBackend], dests: tuple[Endpoint, ...]
 ) -> list[Effect]:
--- a/apricottally/tagged/flowbackends/table.py
+++ b/apricottally/tagged/flowbackends/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from apricottally.tagged.messages import FlowBackend
@@ -74,18 +75,23 @@
         entry = self._find(syn.key, now)
         return entry is not None and entry.initial_sequence == syn.sequence
 
-    def describe(self, key: bytes, now: float) -> FlowBackend | None:
-        """Return what other nodes are told of a flow, if it is known."""
-        entry = self._find(key, now)
-        if entry is None:
-            return None
-        age_ms = max(round((now - entry.opened_at) * 1000), 0)
-        return FlowBackend(key, entry.tag, entry.initial_sequence, age_ms)
+    def describe(self, keys: Iterable[bytes], now: float) -> list[FlowBackend]:
+        """Return what other nodes are told of those flows that are known."""
+        found = ((key, self._find(key, now)) for key in keys)
+        return [
+            FlowBackend(
+                key,
+                entry.tag,
+                entry.initial_sequence,
+                max(round((now - entry.opened_at) * 1000), 0),
+            )
+            for key, entry in found
+            if entry is not None
+        ]
 
     def describe_all(self, now: float) -> list[FlowBackend]:
         """Return what other nodes are told of all flows that are known."""
-        found = [self.describe(key, now) for key in self._by_key]
-        return [flow for flow in found if flow is not None]
+        return self.describe(self._by_key, now)
 
     def purge(self, idle_s: float, now: float) -> None:
         """Drop the flows whose time is over; `idle_s` is the longest pause."""
